--- /dev/null
+++ b/agent/main.c
@@ -0,0 +1,18 @@
+#include "agent/options.h"
+#include "common/log.h"
+#include "common/rc.h"
+
+int
+main(int argc, char **argv)
+{
+    struct agent_options options;
+    if (agent_options_parse(&options, argc, argv) != RC_OK) {
+        return 2;
+    }
+    if (log_open("agent", options.machine, options.log_level) != RC_OK) {
+        return 2;
+    }
+    log_info("main", "started zone=%s", options.zone);
+    log_close();
+    return 0;
+}
--- /dev/null
+++ b/common/budget.c
@@ -0,0 +1,38 @@
+#include "common/budget.h"
+#include "common/invariant.h"
+
+#define BGT_MILLI 1000U
+
+void
+bgt_init(struct bgt *budget, uint32_t permille, uint32_t max_tokens)
+{
+    *budget = (struct bgt){
+        .permille = permille,
+        .max_tokens = max_tokens,
+    };
+}
+
+void
+bgt_earn(struct bgt *budget)
+{
+    uint64_t max = (uint64_t)budget->max_tokens * BGT_MILLI;
+    budget->earned_count += 1;
+    budget->millitokens += budget->permille;
+    if (budget->millitokens > max) {
+        budget->millitokens = max;
+    }
+}
+
+bool
+bgt_spend(struct bgt *budget)
+{
+    if (budget->millitokens < BGT_MILLI) {
+        return false;
+    }
+    budget->millitokens -= BGT_MILLI;
+    budget->spent_count += 1;
+    /* Extra load never exceeds its share of the first attempts. */
+    CH_INVARIANT(budget->spent_count * BGT_MILLI <=
+                 budget->earned_count * budget->permille);
+    return true;
+}
--- /dev/null
+++ b/common/http_client.c
@@ -0,0 +1,286 @@
+#include <glib.h>
+#include <http_parser.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/http_client.h"
+#include "common/net.h"
+#include "common/rc.h"
+
+#define HCL_READ_BYTES 65536
+
+struct hcl_conn {
+    uv_tcp_t tcp;
+    uv_connect_t connect_req;
+    http_parser parser;
+    char *host;
+    size_t max_body_bytes;
+    hcl_connected_cb connected;
+    hcl_lost_cb lost;
+    void *ctx;
+    hcl_response_cb response;
+    void *response_ctx;
+    GByteArray *body;
+    bool is_up;
+    bool is_closing;
+    bool is_complete;
+    bool is_too_large;
+};
+
+/* One for all connections: a read is parsed before the next one starts. */
+static char hcl_read_buffer[HCL_READ_BYTES];
+
+struct hcl_write {
+    uv_write_t req;
+    GString *data;
+};
+
+static int
+hcl_on_body(http_parser *parser, const char *at, size_t length)
+{
+    struct hcl_conn *conn = parser->data;
+    if (conn->body->len + length > conn->max_body_bytes) {
+        conn->is_too_large = true;
+        return 1;
+    }
+    g_byte_array_append(conn->body, (const guint8 *)at, (guint)length);
+    return 0;
+}
+
+static int
+hcl_on_message_complete(http_parser *parser)
+{
+    struct hcl_conn *conn = parser->data;
+    conn->is_complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings hcl_settings = {
+    .on_body = hcl_on_body,
+    .on_message_complete = hcl_on_message_complete,
+};
+
+static void
+hcl_finish(struct hcl_conn *conn, int rc)
+{
+    hcl_response_cb response = conn->response;
+    if (response == NULL) {
+        return;
+    }
+    conn->response = NULL;
+    /* The callback may start the next request, which reuses the buffer. */
+    GByteArray *body = conn->body;
+    conn->body = g_byte_array_new();
+    struct hcl_response result = {
+        .rc = rc,
+        .status = rc == RC_OK ? (int)conn->parser.status_code : 0,
+        .body = (const char *)body->data,
+        .body_bytes = body->len,
+        .is_keepalive =
+            rc == RC_OK && http_should_keep_alive(&conn->parser) != 0,
+    };
+    if (result.body == NULL) {
+        result.body = "";
+    }
+    response(conn, &result, conn->response_ctx);
+    g_byte_array_free(body, TRUE);
+}
+
+static void
+hcl_fail(struct hcl_conn *conn, int rc)
+{
+    conn->is_up = false;
+    if (conn->response != NULL) {
+        hcl_finish(conn, rc);
+    }
+    else if (conn->lost != NULL && !conn->is_closing) {
+        conn->lost(conn, conn->ctx);
+    }
+}
+
+static void
+hcl_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    *buf = uv_buf_init(hcl_read_buffer, sizeof(hcl_read_buffer));
+}
+
+static void
+hcl_parse(struct hcl_conn *conn, const char *data, size_t data_bytes)
+{
+    size_t used =
+        http_parser_execute(&conn->parser, &hcl_settings, data, data_bytes);
+    enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
+    if (conn->is_complete) {
+        /* Bytes behind the response belong to no request. */
+        bool is_clean = used == data_bytes || data_bytes == 0;
+        conn->is_complete = false;
+        if (!is_clean) {
+            hcl_fail(conn, RC_BAD_REPLY);
+            return;
+        }
+        hcl_finish(conn, RC_OK);
+        return;
+    }
+    if (error != HPE_OK) {
+        hcl_fail(conn, conn->is_too_large ? RC_TOO_LARGE : RC_BAD_REPLY);
+    }
+}
+
+static void
+hcl_on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+    struct hcl_conn *conn = stream->data;
+    if (conn->is_closing || nread == 0) {
+        return;
+    }
+    if (nread < 0) {
+        /* Without a length the end of the stream ends the body. */
+        if (nread == UV_EOF && conn->response != NULL) {
+            hcl_parse(conn, NULL, 0);
+            if (conn->response == NULL || conn->is_closing) {
+                return;
+            }
+        }
+        hcl_fail(conn, RC_LINK_LOST);
+        return;
+    }
+    if (conn->response == NULL) {
+        hcl_fail(conn, RC_BAD_REPLY);
+        return;
+    }
+    hcl_parse(conn, buf->base, (size_t)nread);
+}
+
+static void
+hcl_on_connect(uv_connect_t *req, int status)
+{
+    struct hcl_conn *conn = req->data;
+    if (conn->is_closing) {
+        return;
+    }
+    int rc = RC_LINK_FAILED;
+    if (status == 0 && uv_read_start((uv_stream_t *)&conn->tcp, hcl_on_alloc,
+                                     hcl_on_read) == 0) {
+        conn->is_up = true;
+        rc = RC_OK;
+    }
+    conn->connected(conn, rc, conn->ctx);
+}
+
+static void
+hcl_on_closed(uv_handle_t *handle)
+{
+    struct hcl_conn *conn = handle->data;
+    g_byte_array_free(conn->body, TRUE);
+    g_free(conn->host);
+    g_free(conn);
+}
+
+int
+hcl_connect(uv_loop_t *loop, const char *address, size_t max_body_bytes,
+            hcl_connected_cb connected, hcl_lost_cb lost, void *ctx,
+            struct hcl_conn **out)
+{
+    struct sockaddr_in to;
+    if (net_parse(address, &to) != RC_OK) {
+        return RC_INVALID;
+    }
+    struct hcl_conn *conn = g_new0(struct hcl_conn, 1);
+    conn->host = g_strdup(address);
+    conn->max_body_bytes = max_body_bytes;
+    conn->connected = connected;
+    conn->lost = lost;
+    conn->ctx = ctx;
+    conn->body = g_byte_array_new();
+    uv_tcp_init(loop, &conn->tcp);
+    uv_tcp_nodelay(&conn->tcp, 1);
+    conn->tcp.data = conn;
+    conn->connect_req.data = conn;
+    int failed = uv_tcp_connect(&conn->connect_req, &conn->tcp,
+                                (const struct sockaddr *)&to, hcl_on_connect);
+    if (failed != 0) {
+        uv_close((uv_handle_t *)&conn->tcp, hcl_on_closed);
+        return RC_LINK_FAILED;
+    }
+    *out = conn;
+    return RC_OK;
+}
+
+static void
+hcl_on_write(uv_write_t *req, int status)
+{
+    struct hcl_write *write = req->data;
+    /* A failed write also ends the read side, which reports it. */
+    g_string_free(write->data, TRUE);
+    g_free(write);
+}
+
+int
+hcl_request(struct hcl_conn *conn, const char *method, const char *path,
+            const char *extra_headers, const void *body, size_t body_bytes,
+            hcl_response_cb response, void *ctx)
+{
+    if (!conn->is_up || conn->is_closing) {
+        return RC_LINK_FAILED;
+    }
+    if (conn->response != NULL) {
+        return RC_RUNNING;
+    }
+    http_parser_init(&conn->parser, HTTP_RESPONSE);
+    conn->parser.data = conn;
+    conn->is_too_large = false;
+    conn->is_complete = false;
+    g_byte_array_set_size(conn->body, 0);
+
+    struct hcl_write *write = g_new0(struct hcl_write, 1);
+    write->data = g_string_sized_new(256 + body_bytes);
+    g_string_append_printf(write->data, "%s %s HTTP/1.1\r\nHost: %s\r\n%s",
+                           method, path, conn->host,
+                           extra_headers != NULL ? extra_headers : "");
+    if (body != NULL) {
+        g_string_append_printf(write->data,
+                               "Content-Type: application/json\r\n"
+                               "Content-Length: %zu\r\n",
+                               body_bytes);
+    }
+    g_string_append(write->data, "\r\n");
+    if (body != NULL) {
+        g_string_append_len(write->data, body, (gssize)body_bytes);
+    }
+    write->req.data = write;
+    uv_buf_t buf = uv_buf_init(write->data->str, (unsigned)write->data->len);
+    if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
+                 hcl_on_write) != 0) {
+        g_string_free(write->data, TRUE);
+        g_free(write);
+        return RC_LINK_FAILED;
+    }
+    conn->response = response;
+    conn->response_ctx = ctx;
+    return RC_OK;
+}
+
+bool
+hcl_is_up(const struct hcl_conn *conn)
+{
+    return conn->is_up && !conn->is_closing;
+}
+
+bool
+hcl_is_busy(const struct hcl_conn *conn)
+{
+    return conn->response != NULL;
+}
+
+void
+hcl_close(struct hcl_conn *conn)
+{
+    if (conn == NULL || conn->is_closing) {
+        return;
+    }
+    conn->is_closing = true;
+    conn->is_up = false;
+    conn->response = NULL;
+    uv_close((uv_handle_t *)&conn->tcp, hcl_on_closed);
+}
--- /dev/null
+++ b/common/http_server.c
@@ -0,0 +1,251 @@
+#include <uv.h>
+#include <h2o.h>
+#include <glib.h>
+#include <string.h>
+
+#include "common/http_server.h"
+#include "common/log.h"
+#include "common/net.h"
+#include "common/rc.h"
+
+#define HSV_BACKLOG 512
+/* Callers keep connections open between requests; h2o closes idle ones. */
+#define HSV_IDLE_TIMEOUT_MS (60ULL * 1000)
+
+struct hsv_server {
+    uv_tcp_t listener;
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept_ctx;
+    hsv_handler_cb handler;
+    void *ctx;
+    uint32_t connection_count;
+    int is_stopping;
+};
+
+/* Owns a request until it is both answered and gone from h2o. */
+struct hsv_slot {
+    struct hsv_request request;
+    h2o_req_t *h2o;
+    char *method;
+    char *path;
+    char *query;
+    char *body;
+    int is_answered;
+};
+
+struct hsv_route {
+    h2o_handler_t super;
+    struct hsv_server *server;
+};
+
+/* The loop closes the handle after the server let go of the connection. */
+struct hsv_connection {
+    uv_tcp_t tcp;
+    struct hsv_server *server;
+};
+
+static void
+hsv_slot_free(struct hsv_slot *slot)
+{
+    g_free(slot->method);
+    g_free(slot->path);
+    g_free(slot->query);
+    g_free(slot->body);
+    g_free(slot);
+}
+
+static void
+hsv_on_request_disposed(void *data)
+{
+    struct hsv_slot *slot = *(struct hsv_slot **)data;
+    slot->h2o = NULL;
+    if (slot->is_answered) {
+        hsv_slot_free(slot);
+    }
+    else if (slot->request.on_gone != NULL) {
+        slot->request.on_gone(&slot->request, slot->request.ctx);
+    }
+}
+
+static int
+hsv_on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+    struct hsv_server *server = ((struct hsv_route *)self)->server;
+    struct hsv_slot *slot = g_new0(struct hsv_slot, 1);
+    struct hsv_slot **holder = h2o_mem_alloc_shared(
+        &req->pool, sizeof(struct hsv_slot *), hsv_on_request_disposed);
+    *holder = slot;
+    size_t path_bytes = req->path.len;
+    slot->query = g_strdup("");
+    if (req->query_at != SIZE_MAX) {
+        path_bytes = req->query_at;
+        g_free(slot->query);
+        slot->query = g_strndup(req->path.base + req->query_at + 1,
+                                req->path.len - req->query_at - 1);
+    }
+    slot->h2o = req;
+    slot->method = g_strndup(req->method.base, req->method.len);
+    slot->path = g_strndup(req->path.base, path_bytes);
+    slot->body = g_strndup(req->entity.base != NULL ? req->entity.base : "",
+                           req->entity.len);
+    slot->request = (struct hsv_request){
+        .method = slot->method,
+        .path = slot->path,
+        .query = slot->query,
+        .body = slot->body,
+        .body_bytes = req->entity.len,
+    };
+    server->handler(&slot->request, server->ctx);
+    return 0;
+}
+
+static struct hsv_slot *
+hsv_slot_of(const struct hsv_request *request)
+{
+    return (struct hsv_slot *)request;
+}
+
+char *
+hsv_header(const struct hsv_request *request, const char *name)
+{
+    const struct hsv_slot *slot = hsv_slot_of(request);
+    if (slot->h2o == NULL) {
+        return NULL;
+    }
+    const h2o_headers_t *headers = &slot->h2o->headers;
+    ssize_t i = h2o_find_header_by_str(headers, name, strlen(name), -1);
+    if (i < 0) {
+        return NULL;
+    }
+    return g_strndup(headers->entries[i].value.base,
+                     headers->entries[i].value.len);
+}
+
+char *
+hsv_query_value(const struct hsv_request *request, const char *name)
+{
+    size_t name_len = strlen(name);
+    char *found = NULL;
+    char **pairs = g_strsplit(request->query, "&", -1);
+    for (char **pair = pairs; *pair != NULL && found == NULL; pair++) {
+        if (strncmp(*pair, name, name_len) == 0 && (*pair)[name_len] == '=') {
+            found = g_uri_unescape_string(*pair + name_len + 1, NULL);
+        }
+    }
+    g_strfreev(pairs);
+    return found;
+}
+
+void
+hsv_respond(struct hsv_request *request, int status, const char *content_type,
+            const void *body, size_t body_bytes)
+{
+    struct hsv_slot *slot = hsv_slot_of(request);
+    slot->is_answered = 1;
+    if (slot->h2o == NULL) {
+        hsv_slot_free(slot);
+        return;
+    }
+    h2o_req_t *req = slot->h2o;
+    req->res.status = status;
+    req->res.reason = status < 400 ? "OK" : "Error";
+    h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+                   content_type, strlen(content_type));
+    h2o_send_inline(req, body, body_bytes);
+}
+
+static void
+hsv_on_connection_closed(uv_handle_t *handle)
+{
+    struct hsv_connection *connection = (struct hsv_connection *)handle;
+    connection->server->connection_count -= 1;
+    g_free(connection);
+}
+
+static void
+hsv_on_accept(uv_stream_t *listener, int status)
+{
+    struct hsv_server *server = listener->data;
+    if (status != 0) {
+        return;
+    }
+    struct hsv_connection *connection = g_new0(struct hsv_connection, 1);
+    connection->server = server;
+    server->connection_count += 1;
+    uv_tcp_init(listener->loop, &connection->tcp);
+    if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0) {
+        uv_close((uv_handle_t *)&connection->tcp, hsv_on_connection_closed);
+        return;
+    }
+    uv_tcp_nodelay(&connection->tcp, 1);
+    h2o_socket_t *socket = h2o_uv_socket_create(
+        (uv_stream_t *)&connection->tcp, hsv_on_connection_closed);
+    h2o_accept(&server->accept_ctx, socket);
+}
+
+static void
+hsv_configure(struct hsv_server *server, size_t max_body_bytes)
+{
+    h2o_config_init(&server->config);
+    server->config.max_request_entity_size = max_body_bytes;
+    server->config.http1.req_timeout = HSV_IDLE_TIMEOUT_MS;
+    h2o_hostconf_t *host = h2o_config_register_host(
+        &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    struct hsv_route *route =
+        (struct hsv_route *)h2o_create_handler(path, sizeof(*route));
+    route->super.on_req = hsv_on_request;
+    route->server = server;
+}
+
+int
+hsv_open(uv_loop_t *loop, const char *address, size_t max_body_bytes,
+         hsv_handler_cb handler, void *ctx, struct hsv_server **out)
+{
+    struct sockaddr_in bind_to;
+    if (net_parse(address, &bind_to) != RC_OK) {
+        return RC_INVALID;
+    }
+    struct hsv_server *server = g_new0(struct hsv_server, 1);
+    server->handler = handler;
+    server->ctx = ctx;
+    hsv_configure(server, max_body_bytes);
+    h2o_context_init(&server->context, loop, &server->config);
+    server->accept_ctx.ctx = &server->context;
+    server->accept_ctx.hosts = server->config.hosts;
+    uv_tcp_init(loop, &server->listener);
+    server->listener.data = server;
+    int failed =
+        uv_tcp_bind(&server->listener, (const struct sockaddr *)&bind_to, 0);
+    if (failed == 0) {
+        failed = uv_listen((uv_stream_t *)&server->listener, HSV_BACKLOG,
+                           hsv_on_accept);
+    }
+    if (failed != 0) {
+        log_error("http", "cannot listen address=%s error=\"%s\"", address,
+                  uv_strerror(failed));
+        uv_close((uv_handle_t *)&server->listener, NULL);
+        return RC_IO;
+    }
+    *out = server;
+    return RC_OK;
+}
+
+void
+hsv_stop(struct hsv_server *server)
+{
+    if (server->is_stopping) {
+        return;
+    }
+    server->is_stopping = 1;
+    uv_close((uv_handle_t *)&server->listener, NULL);
+    /* Each further answer carries "Connection: close". */
+    h2o_context_request_shutdown(&server->context);
+}
+
+uint32_t
+hsv_connection_count(const struct hsv_server *server)
+{
+    return server->connection_count;
+}
--- /dev/null
+++ b/common/opt.c
@@ -0,0 +1,178 @@
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/net.h"
+#include "common/opt.h"
+#include "common/rc.h"
+
+static char *
+opt_env_name(const char *name)
+{
+    char *upper = g_ascii_strup(name, -1);
+    g_strdelimit(upper, "-", '_');
+    char *env = g_strconcat("CAROBHATCH_", upper, NULL);
+    g_free(upper);
+    return env;
+}
+
+static int
+opt_set_int(const struct opt_spec *spec, const char *text)
+{
+    char *end = NULL;
+    errno = 0;
+    int64_t value = g_ascii_strtoll(text, &end, 10);
+    if (errno != 0 || end == text || *end != '\0') {
+        (void)fprintf(stderr, "--%s: '%s' is not a whole number\n", spec->name,
+                      text);
+        return RC_USAGE;
+    }
+    if (value < spec->min || value > spec->max) {
+        (void)fprintf(
+            stderr, "--%s: %" PRId64 " is outside %" PRId64 "..%" PRId64 "\n",
+            spec->name, value, spec->min, spec->max);
+        return RC_USAGE;
+    }
+    *(int64_t *)spec->target = value;
+    return RC_OK;
+}
+
+static int
+opt_set(const struct opt_spec *spec, const char *text)
+{
+    struct sockaddr_in address;
+    switch (spec->kind) {
+    case OPT_INT:
+        return opt_set_int(spec, text);
+    case OPT_FLAG:
+        *(bool *)spec->target =
+            strcmp(text, "0") != 0 && strcmp(text, "false") != 0;
+        return RC_OK;
+    case OPT_ADDRESS:
+        if (net_parse(text, &address) != RC_OK) {
+            (void)fprintf(stderr, "--%s: '%s' is not IPV4:PORT\n", spec->name,
+                          text);
+            return RC_USAGE;
+        }
+        break;
+    case OPT_STRING:
+        break;
+    }
+    char **target = spec->target;
+    g_free(*target);
+    *target = g_strdup(text);
+    return RC_OK;
+}
+
+static int
+opt_read_env(const struct opt_spec *specs, size_t count, bool *seen)
+{
+    for (size_t i = 0; i < count; i++) {
+        char *env = opt_env_name(specs[i].name);
+        const char *text = g_getenv(env);
+        int rc = RC_OK;
+        if (text != NULL) {
+            rc = opt_set(&specs[i], text);
+            seen[i] = true;
+        }
+        if (rc != RC_OK) {
+            (void)fprintf(stderr, "(from the environment: %s)\n", env);
+        }
+        g_free(env);
+        if (rc != RC_OK) {
+            return rc;
+        }
+    }
+    return RC_OK;
+}
+
+static int
+opt_check_required(const struct opt_spec *specs, size_t count,
+                   const bool *seen)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (specs[i].required && !seen[i]) {
+            (void)fprintf(stderr, "--%s is required\n", specs[i].name);
+            return RC_USAGE;
+        }
+    }
+    return RC_OK;
+}
+
+static int
+opt_read_flags(int *argc, char ***argv, const struct opt_spec *specs,
+               size_t count, const char *arguments, const char *summary,
+               bool *seen)
+{
+    char **texts = g_new0(char *, count + 1);
+    gboolean *flags = g_new0(gboolean, count + 1);
+    gboolean version = FALSE;
+    GOptionEntry *entries = g_new0(GOptionEntry, count + 2);
+    for (size_t i = 0; i < count; i++) {
+        bool is_flag = specs[i].kind == OPT_FLAG;
+        entries[i].long_name = specs[i].name;
+        entries[i].arg = is_flag ? G_OPTION_ARG_NONE : G_OPTION_ARG_STRING;
+        entries[i].arg_data =
+            is_flag ? (gpointer)&flags[i] : (gpointer)&texts[i];
+        entries[i].description = specs[i].help;
+        entries[i].arg_description = specs[i].arg;
+    }
+    entries[count].long_name = "version";
+    entries[count].arg = G_OPTION_ARG_NONE;
+    entries[count].arg_data = &version;
+    entries[count].description = "Print the version and exit";
+
+    GOptionContext *context = g_option_context_new(arguments);
+    g_option_context_set_summary(context, summary);
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    int rc = RC_OK;
+    if (!g_option_context_parse(context, argc, argv, &error)) {
+        (void)fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+        rc = RC_USAGE;
+    }
+    if (rc == RC_OK && version) {
+        (void)printf("carobhatch %s\n", CH_VERSION);
+        exit(0);
+    }
+    for (size_t i = 0; rc == RC_OK && i < count; i++) {
+        if (texts[i] != NULL) {
+            rc = opt_set(&specs[i], texts[i]);
+            seen[i] = true;
+        }
+        if (flags[i]) {
+            *(bool *)specs[i].target = true;
+            seen[i] = true;
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        g_free(texts[i]);
+    }
+    g_option_context_free(context);
+    g_free(entries);
+    g_free(flags);
+    g_free(texts);
+    return rc;
+}
+
+int
+opt_parse(int *argc, char ***argv, const struct opt_spec *specs, size_t count,
+          const char *arguments, const char *summary)
+{
+    bool *seen = g_new0(bool, count + 1);
+    int rc = opt_read_env(specs, count, seen);
+    if (rc == RC_OK) {
+        rc =
+            opt_read_flags(argc, argv, specs, count, arguments, summary, seen);
+    }
+    if (rc == RC_OK) {
+        rc = opt_check_required(specs, count, seen);
+    }
+    g_free(seen);
+    return rc;
+}
--- /dev/null
+++ b/include/common/config.h
@@ -0,0 +1,89 @@
+#ifndef CH_COMMON_CONFIG_H
+#define CH_COMMON_CONFIG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * The declarations in force: what operators wrote, merged, checked and
+ * numbered. Immutable once parsed.
+ */
+
+struct cfg_zone {
+    char *name;
+    bool is_in;
+};
+
+struct cfg_caller {
+    char *name;
+    int64_t quota_per_s;
+    int64_t burst;
+    int64_t priority; /* 0 is served first */
+};
+
+struct cfg_searcher {
+    char *name;
+    char *zone;
+    char *address; /* IPV4:PORT */
+    bool is_leaving;
+};
+
+struct cfg_instance {
+    char *name;
+    struct cfg_searcher *searchers;
+    size_t searcher_count;
+};
+
+struct cfg_service {
+    char *name;
+    int64_t slots;       /* per searcher, over all who use it */
+    int64_t connections; /* per searcher, over all who use it */
+    int64_t connect_cost_us;
+    int64_t cold_share_permille;
+    int64_t cold_ramp_ms;
+    int64_t deadline_default_ms;
+    int64_t deadline_max_ms;
+    int64_t queue_max_parts; /* per instance */
+    int64_t hedge_budget_permille;
+    struct cfg_instance *instances;
+    size_t instance_count;
+};
+
+struct cfg {
+    uint64_t revision;
+    char *cluster;
+    struct cfg_zone *zones;
+    size_t zone_count;
+    struct cfg_caller *callers;
+    size_t caller_count;
+    struct cfg_service *services;
+    size_t service_count;
+};
+
+/*
+ * Parses and checks a configuration document as the store holds it (JSON).
+ * Returns RC_OK, RC_BAD_JSON, or RC_INVALID with a message that names the
+ * field in `*error` (free with g_free). Nothing is returned on an error.
+ */
+int cfg_parse(const char *json, size_t json_bytes, struct cfg **out,
+              char **error);
+
+void cfg_free(struct cfg *cfg);
+
+/* The entries with these names, or NULL. */
+const struct cfg_service *cfg_service_find(const struct cfg *cfg,
+                                           const char *name);
+const struct cfg_instance *cfg_instance_find(const struct cfg_service *service,
+                                             const char *name);
+const struct cfg_caller *cfg_caller_find(const struct cfg *cfg,
+                                         const char *name);
+
+/* False for a zone that is out or not declared. */
+bool cfg_zone_is_in(const struct cfg *cfg, const char *name);
+
+/* Digest of a document, the same on every machine. */
+uint64_t cfg_digest(const char *json, size_t json_bytes);
+
+#endif
--- /dev/null
+++ b/include/common/counter.h
@@ -0,0 +1,26 @@
+#ifndef CH_COMMON_COUNTER_H
+#define CH_COMMON_COUNTER_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* The counters and gauges of one process or module under test. */
+struct cnt_set;
+
+struct cnt_set *cnt_set_new(void);
+
+void cnt_set_free(struct cnt_set *set);
+
+/*
+ * Returns the counter `name` with the label `reason` (NULL for none), created
+ * with 0 when it is new. The pointer stays valid until the set is freed.
+ */
+uint64_t *cnt_get(struct cnt_set *set, const char *name, const char *reason);
+
+/* Adds 1 to the counter; for paths too rare to keep the pointer. */
+void cnt_add(struct cnt_set *set, const char *name, const char *reason);
+
+/* Appends all counters in name order as Prometheus text. */
+void cnt_render(const struct cnt_set *set, GString *out);
+
+#endif
--- /dev/null
+++ b/include/common/opt.h
@@ -0,0 +1,37 @@
+#ifndef CH_COMMON_OPT_H
+#define CH_COMMON_OPT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum opt_kind {
+    OPT_STRING,  /* target: char *, owned by the caller */
+    OPT_INT,     /* target: int64_t, checked against min and max */
+    OPT_FLAG,    /* target: bool */
+    OPT_ADDRESS, /* target: char *, must be IPV4:PORT */
+};
+
+/*
+ * One setting. The environment variable is CAROBHATCH_ and the name in upper
+ * case with '_' for '-'; a flag on the command line goes before it.
+ */
+struct opt_spec {
+    const char *name;
+    enum opt_kind kind;
+    void *target;
+    const char *help;
+    const char *arg;
+    int64_t min;
+    int64_t max;
+    int required;
+};
+
+/*
+ * Reads environment and flags into the targets. `*argv` keeps the program's
+ * name and the remaining arguments. Returns RC_OK, or RC_USAGE after printing
+ * what is wrong to stderr. Exits with 0 after --help and --version.
+ */
+int opt_parse(int *argc, char ***argv, const struct opt_spec *specs,
+              size_t count, const char *arguments, const char *summary);
+
+#endif
--- /dev/null
+++ b/include/relay/options.h
@@ -0,0 +1,14 @@
+#ifndef CH_RELAY_OPTIONS_H
+#define CH_RELAY_OPTIONS_H
+
+/* Settings of carobhatch-relay. */
+struct relay_options {
+    char *machine;
+    char *zone;
+    char *log_level;
+};
+
+/* Reads flags and environment. Returns RC_OK or RC_USAGE. */
+int relay_options_parse(struct relay_options *options, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/relay/main.c
@@ -0,0 +1,18 @@
+#include "relay/options.h"
+#include "common/log.h"
+#include "common/rc.h"
+
+int
+main(int argc, char **argv)
+{
+    struct relay_options options;
+    if (relay_options_parse(&options, argc, argv) != RC_OK) {
+        return 2;
+    }
+    if (log_open("relay", options.machine, options.log_level) != RC_OK) {
+        return 2;
+    }
+    log_info("main", "started zone=%s", options.zone);
+    log_close();
+    return 0;
+}
