Write log lines without the appender's name

Cause: log4c's stderr and stream appenders print the appender's name before each line.

Change: an appender type of our own that writes the formatted line only.

Measured: a started program prints one line that begins with the time.

--- a/common/log.c
+++ b/common/log.c
@@ -33,6 +33,19 @@
     .format = log_layout_format,
 };
 
+static int
+log_appender_append(log4c_appender_t *appender,
+                    const log4c_logging_event_t *event)
+{
+    return fputs(event->evt_rendered_msg, stderr);
+}
+
+/* log4c's own appenders put the appender's name before each line. */
+static const log4c_appender_type_t log_appender_type = {
+    .name = "carobhatch",
+    .append = log_appender_append,
+};
+
 static int
 log_priority_parse(const char *level)
 {
@@ -73,10 +86,9 @@
     log4c_layout_type_set(&log_layout_type);
     log4c_layout_t *layout = log4c_layout_get("carobhatch");
     log4c_layout_set_type(layout, &log_layout_type);
-    /* The type "stderr" would put "[stderr]" before each line. */
+    log4c_appender_type_set(&log_appender_type);
     log4c_appender_t *appender = log4c_appender_get("carobhatch");
-    log4c_appender_set_type(appender, log4c_appender_type_get("stream"));
-    log4c_appender_set_udata(appender, stderr);
+    log4c_appender_set_type(appender, &log_appender_type);
     log4c_appender_set_layout(appender, layout);
     log_category = log4c_category_get("carobhatch");
     log4c_category_set_appender(log_category, appender);
