--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,187 @@
+# Functions to run a small deployment on loopback addresses; sourced by the
+# demo, the system tests and the benchmarks. Every process is started here,
+# recorded with its id and ended by that id.
+#
+# RUN_DIR   directory of logs, made by dep_open
+# BIN       build directory (default build)
+# PORT_BASE first port of the machines (default 21000; machine I uses ten
+#           ports from PORT_BASE + 10 * I, the store PORT_BASE - 10)
+
+BIN=${BIN:-build}
+PORT_BASE=${PORT_BASE:-21000}
+STORE="127.0.0.1:$((PORT_BASE - 10))"
+declare -A DEP_PIDS=()
+
+dep_open() {
+    RUN_DIR=$(mktemp -d)
+    trap dep_close EXIT
+}
+
+# dep_spawn NAME COMMAND...: starts a process whose log is RUN_DIR/NAME.log.
+dep_spawn() {
+    local name=$1
+    shift
+    "$@" >>"$RUN_DIR/$name.log" 2>&1 &
+    DEP_PIDS[$name]=$!
+}
+
+# dep_kill NAME [SIGNAL]: ends a process and waits for it.
+dep_kill() {
+    local pid=${DEP_PIDS[$1]:-}
+    [ -n "$pid" ] || return 0
+    kill -"${2:-TERM}" "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+    unset "DEP_PIDS[$1]"
+}
+
+dep_signal() {
+    kill -"$2" "${DEP_PIDS[$1]}"
+}
+
+dep_alive() {
+    kill -0 "${DEP_PIDS[$1]:-0}" 2>/dev/null
+}
+
+dep_close() {
+    local name status=$?
+    for name in "${!DEP_PIDS[@]}"; do
+        kill -CONT "${DEP_PIDS[$name]}" 2>/dev/null || true
+        kill -KILL "${DEP_PIDS[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    if [ "$status" -eq 0 ] && [ -z "${KEEP_LOGS:-}" ]; then
+        rm -rf "$RUN_DIR"
+    else
+        echo "logs are in $RUN_DIR" >&2
+    fi
+    return "$status"
+}
+
+machine_port() {
+    echo $((PORT_BASE + 10 * $1 + $2))
+}
+
+agent_address() { echo "127.0.0.1:$(machine_port "$1" 0)"; }
+agent_http() { echo "127.0.0.1:$(machine_port "$1" 1)"; }
+entry_http() { echo "127.0.0.1:$(machine_port "$1" 2)"; }
+entry_peer() { echo "127.0.0.1:$(machine_port "$1" 3)"; }
+relay_address() { echo "127.0.0.1:$(machine_port "$1" 4)"; }
+relay_http() { echo "127.0.0.1:$(machine_port "$1" 5)"; }
+
+# dep_list FUNCTION COUNT: comma-separated addresses of machines 0..COUNT-1.
+dep_list() {
+    local i list=
+    for ((i = 0; i < $2; i++)); do
+        list+="${list:+,}$($1 "$i")"
+    done
+    echo "$list"
+}
+
+# dep_wait SECONDS COMMAND...: repeats the command until it succeeds.
+dep_wait() {
+    local tries=$(($1 * 20))
+    shift
+    while ! "$@" >/dev/null 2>&1; do
+        tries=$((tries - 1))
+        if [ "$tries" -le 0 ]; then
+            echo "gave up waiting for: $*" >&2
+            return 1
+        fi
+        sleep 0.05
+    done
+}
+
+http_get() {
+    curl -sf --max-time 2 "http://$1"
+}
+
+store_start() {
+    dep_spawn store "$BIN/standin/standin-store" --listen "$STORE" "$@"
+    dep_wait 5 http_get "$STORE/v1/vms"
+}
+
+store_admin() {
+    curl -sf --max-time 2 -d "$1" "http://$STORE/admin" >/dev/null
+}
+
+# vm_put MACHINE-INDEX ZONE STATE: entry in the platform's list of VMs.
+vm_put() {
+    curl -sf --max-time 2 -X PUT \
+        -d "{\"zone\":\"$2\",\"address\":\"$(agent_address "$1")\",\"state\":\"$3\"}" \
+        "http://$STORE/v1/vms/m$1" >/dev/null
+}
+
+# machine_start INDEX ZONE [agent flags...]: agent, entry and relay.
+machine_start() {
+    local i=$1 zone=$2
+    shift 2
+    vm_put "$i" "$zone" live
+    dep_spawn "agent$i" "$BIN/agent/carobhatch-agent" --machine "m$i" \
+        --zone "$zone" --listen "$(agent_address "$i")" \
+        --http-listen "$(agent_http "$i")" --store "$STORE" \
+        --entry-address "$(entry_http "$i")" \
+        --peer-address "$(entry_peer "$i")" \
+        --relay-address "$(relay_address "$i")" "$@"
+    relay_start "$i" "$zone"
+    entry_start "$i" "$zone"
+}
+
+relay_start() {
+    dep_spawn "relay$1" "$BIN/relay/carobhatch-relay" --machine "m$1" \
+        --zone "$2" --listen "$(relay_address "$1")" \
+        --http-listen "$(relay_http "$1")" --agent "$(agent_address "$1")"
+}
+
+entry_start() {
+    dep_spawn "entry$1" "$BIN/entry/carobhatch-entry" --machine "m$1" \
+        --zone "$2" --http-listen "$(entry_http "$1")" \
+        --peer-listen "$(entry_peer "$1")" --agent "$(agent_address "$1")"
+}
+
+# machine_stop INDEX: planned stop; returns when all three have exited.
+machine_stop() {
+    local i=$1 role
+    for role in agent entry relay; do
+        kill -TERM "${DEP_PIDS[$role$i]}" 2>/dev/null || true
+    done
+    for role in entry relay agent; do
+        wait "${DEP_PIDS[$role$i]}" 2>/dev/null || true
+        unset "DEP_PIDS[$role$i]"
+    done
+}
+
+# machine_kill INDEX: the VM fails without notice.
+machine_kill() {
+    local role
+    for role in agent entry relay; do
+        kill -KILL "${DEP_PIDS[$role$1]}" 2>/dev/null || true
+    done
+    for role in agent entry relay; do
+        wait "${DEP_PIDS[$role$1]}" 2>/dev/null || true
+        unset "DEP_PIDS[$role$1]"
+    done
+}
+
+machine_signal() {
+    local role
+    for role in agent entry relay; do
+        kill -"$2" "${DEP_PIDS[$role$1]}" 2>/dev/null || true
+    done
+}
+
+ctl() {
+    "$BIN/ctl/carobhatchctl" --store "$STORE" --agents "$AGENTS" "$@"
+}
+
+# search_complete ENTRY SERVICE: a search that reaches every shard.
+search_complete() {
+    curl -sf --max-time 2 -d '{"query":"probe","deadline_ms":500}' \
+        "http://$1/v1/search/$2" | grep -q '"complete": *true'
+}
+
+# metric ADDRESS NAME: sum over all reasons of one counter.
+metric() {
+    http_get "$1/metrics" |
+        awk -v n="carobhatch_$2" '$1 == n || index($1, n "{") == 1 { s += $2 }
+                                  END { print s + 0 }'
+}
--- /dev/null
+++ b/scripts/lodz.sh
@@ -0,0 +1,47 @@
+# The deployment of examples/lodz on loopback addresses; after lib.sh.
+# Searcher ports must match examples/lodz.
+
+LODZ_ZONES=(widzew baluty gorna)
+LODZ_DISPATCH_PORT=40000
+LODZ_BILLING_PORT=40100
+LODZ_TANKER_PORT=40200
+LODZ_SHEETS_PORT=40300
+
+# lodz_searchers [flags for the dispatch desk...]
+lodz_searchers() {
+    local searcher=$BIN/standin/standin-searcher
+    dep_spawn dispatch "$searcher" --base-port $LODZ_DISPATCH_PORT \
+        --shards 20 --replicas 2 --slots 2 --connections 25 \
+        --connect-cost-us 6000 --zones widzew,baluty,gorna "$@"
+    dep_spawn billing "$searcher" --base-port $LODZ_BILLING_PORT \
+        --shards 30 --replicas 2 --slots 2 --connections 25 \
+        --connect-cost-us 6000 --zones widzew,baluty,gorna
+    dep_spawn tanker "$searcher" --base-port $LODZ_TANKER_PORT \
+        --shards 1 --replicas 5 --slots 4 --connections 100 \
+        --connect-cost-us 1000 --zones widzew,baluty,gorna
+    dep_spawn sheets "$searcher" --base-port $LODZ_SHEETS_PORT \
+        --shards 1 --replicas 3 --slots 4 --connections 100 \
+        --connect-cost-us 1000 --zones widzew,baluty,gorna
+}
+
+# lodz_start MACHINES [flags for the dispatch searchers...]: everything, with
+# the configuration in force and every shard of each service reachable.
+lodz_start() {
+    local machines=$1 i
+    shift
+    AGENTS=$(dep_list agent_http "$machines")
+    ENTRIES=$(dep_list entry_http "$machines")
+    store_start
+    lodz_searchers "$@"
+    for ((i = 0; i < machines; i++)); do
+        machine_start "$i" "${LODZ_ZONES[$((i % 3))]}"
+    done
+    for ((i = 0; i < machines; i++)); do
+        dep_wait 10 http_get "$(agent_http "$i")/healthz"
+    done
+    ctl --base examples/lodz/base.yaml --overlay examples/lodz/site.yaml apply
+    for ((i = 0; i < machines; i++)); do
+        dep_wait 20 search_complete "$(entry_http "$i")" dispatch
+        dep_wait 20 search_complete "$(entry_http "$i")" billing
+    done
+}
