--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -61,4 +61,13 @@
  */
 void hcl_close(struct hcl_conn *conn);
 
+/* Requests and bytes on the wire of all connections of this process. */
+struct hcl_traffic {
+    uint64_t request_count;
+    uint64_t sent_bytes;
+    uint64_t received_bytes;
+};
+
+struct hcl_traffic hcl_traffic_total(void);
+
 #endif
