--- a/common/config.c
+++ b/common/config.c
@@ -84,6 +84,11 @@
     for (size_t i = 0; i < cfg->zone_count; i++) {
         g_free(cfg->zones[i].name);
     }
+    for (size_t i = 0; i < cfg->machine_count; i++) {
+        g_free(cfg->machines[i].name);
+        g_free(cfg->machines[i].zone);
+        g_free(cfg->machines[i].address);
+    }
     for (size_t i = 0; i < cfg->caller_count; i++) {
         g_free(cfg->callers[i].name);
     }
@@ -91,6 +96,7 @@
         cfg_service_clear(&cfg->services[i]);
     }
     g_free(cfg->zones);
+    g_free(cfg->machines);
     g_free(cfg->callers);
     g_free(cfg->services);
     g_free(cfg->cluster);
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -16,6 +16,12 @@
     bool is_in;
 };
 
+struct cfg_machine {
+    char *name;
+    char *zone;
+    char *address; /* IPV4:PORT */
+};
+
 struct cfg_caller {
     char *name;
     int64_t quota_per_s;
@@ -56,6 +62,8 @@
     char *cluster;
     struct cfg_zone *zones;
     size_t zone_count;
+    struct cfg_machine *machines;
+    size_t machine_count;
     struct cfg_caller *callers;
     size_t caller_count;
     struct cfg_service *services;
--- /dev/null
+++ b/tests/ctl/test_config.c
@@ -0,0 +1,120 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "common/config.h"
+#include "common/rc.h"
+#include "script.h"
+
+#define TEXT_BYTES(text) (text), strlen(text)
+
+static const char base_json[] =
+    "{\"revision\":7,\"cluster\":\"lodz\","
+    "\"zones\":[{\"name\":\"a\"},{\"name\":\"b\",\"state\":\"out\"}],"
+    "\"callers\":[{\"name\":\"desk\",\"quota_per_s\":50}],"
+    "\"services\":[{\"name\":\"d\",\"slots\":2,\"connections\":25,"
+    "\"connect_cost_us\":6000,\"instances\":["
+    "{\"name\":\"d0\",\"searchers\":["
+    "{\"name\":\"x\",\"zone\":\"a\",\"address\":\"127.0.0.1:1\"},"
+    "{\"name\":\"y\",\"zone\":\"b\",\"address\":\"127.0.0.1:2\","
+    "\"state\":\"leaving\"}]},"
+    "{\"name\":\"d1\",\"searchers\":["
+    "{\"name\":\"x\",\"zone\":\"b\",\"address\":\"127.0.0.1:3\"}]}]}]}";
+
+static void
+print_parse(const char *json, GString *out)
+{
+    struct cfg *cfg = NULL;
+    char *error = NULL;
+    int rc = cfg_parse(TEXT_BYTES(json), &cfg, &error);
+    g_string_append(out, rc_name(rc));
+    if (error != NULL) {
+        g_string_append_printf(out, " %s", error);
+    }
+    assert_true((rc == RC_OK) == (cfg != NULL && error == NULL));
+    g_free(error);
+    cfg_free(cfg);
+}
+
+/* parse JSON: result of the text as it stands. */
+static void
+run_parse(void *ctx, int argc, char **argv, GString *out)
+{
+    print_parse(argv[1], out);
+}
+
+/* with FROM TO: result after replacing FROM by TO in the base document. */
+static void
+run_with(void *ctx, int argc, char **argv, GString *out)
+{
+    char **parts = g_strsplit(base_json, argv[1], 2);
+    assert_non_null(parts[0]);
+    assert_non_null(parts[1]);
+    char *json = g_strconcat(parts[0], argv[2], parts[1], NULL);
+    print_parse(json, out);
+    g_free(json);
+    g_strfreev(parts);
+}
+
+/* show: all values of the base document. */
+static void
+run_show(void *ctx, int argc, char **argv, GString *out)
+{
+    struct cfg *cfg = NULL;
+    char *error = NULL;
+    assert_int_equal(cfg_parse(TEXT_BYTES(base_json), &cfg, &error), RC_OK);
+    const struct cfg_caller *caller = cfg_caller_find(cfg, "desk");
+    const struct cfg_service *service = cfg_service_find(cfg, "d");
+    const struct cfg_searcher *y = &service->instances[0].searchers[1];
+    g_string_append_printf(
+        out, "revision=%" PRIu64 " %s a=%d b=%d c=%d machines=%zu\n",
+        cfg->revision, cfg->cluster, cfg_zone_is_in(cfg, "a"),
+        cfg_zone_is_in(cfg, "b"), cfg_zone_is_in(cfg, "c"),
+        cfg->machine_count);
+    g_string_append_printf(
+        out, "quota=%" PRId64 " burst=%" PRId64 " priority=%" PRId64 "\n",
+        caller->quota_per_s, caller->burst, caller->priority);
+    g_string_append_printf(
+        out, "slots=%" PRId64 " links=%" PRId64 " cost=%" PRId64 "\n",
+        service->slots, service->connections, service->connect_cost_us);
+    g_string_append_printf(
+        out,
+        "cold=%" PRId64 "/%" PRId64 " deadline=%" PRId64 "/%" PRId64
+        " queue=%" PRId64 " hedge=%" PRId64 "\n",
+        service->cold_share_permille, service->cold_ramp_ms,
+        service->deadline_default_ms, service->deadline_max_ms,
+        service->queue_max_parts, service->hedge_budget_permille);
+    g_string_append_printf(
+        out, "x leaving=%d y zone=%s address=%s leaving=%d d1=%zu\n",
+        service->instances[0].searchers[0].is_leaving, y->zone, y->address,
+        y->is_leaving, cfg_instance_find(service, "d1")->searcher_count);
+    cfg_free(cfg);
+}
+
+static const struct scr_command commands[] = {
+    {"parse", run_parse},
+    {"with", run_with},
+    {"show", run_show},
+};
+
+static void
+test_config(void **state)
+{
+    assert_int_equal(scr_run(SCRIPT_DIR "/config.txt", commands,
+                             G_N_ELEMENTS(commands), NULL),
+                     0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_config),
+    };
+    return cmocka_run_group_tests_name("config", tests, NULL, NULL);
+}
