--- /dev/null
+++ b/include/standin/store_fault.h
@@ -0,0 +1,30 @@
+#ifndef CH_STANDIN_STORE_FAULT_H
+#define CH_STANDIN_STORE_FAULT_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Faults that the store shows on request. */
+struct flt {
+    bool is_down;       /* calls are not answered */
+    bool is_refusing;   /* with is_down: calls are answered with 503 */
+    int64_t delay_ms;   /* from the effect of a call to its answer */
+    int64_t lose_count; /* successful writes that still get no answer */
+    int64_t fail_permille;
+    uint32_t random; /* state of the generator, not 0 */
+};
+
+/*
+ * Applies {"down", "refuse", "delay_ms", "lose_replies", "fail_permille"}.
+ * Returns RC_OK, or RC_BAD_FIELD with no change.
+ */
+int flt_apply(struct flt *fault, const json_t *switches);
+
+/* Whether this call is to fail with 503 without an effect. */
+bool flt_fails(struct flt *fault);
+
+/* Whether the answer of this successful write is to be lost. */
+bool flt_loses_reply(struct flt *fault);
+
+#endif
--- /dev/null
+++ b/standin/store_fault.c
@@ -0,0 +1,85 @@
+#include <glib.h>
+#include <string.h>
+
+#include "common/rc.h"
+#include "standin/store_fault.h"
+
+struct flt_switch {
+    const char *name;
+    size_t offset;
+    bool is_flag;
+    int64_t max;
+};
+
+static const struct flt_switch flt_switches[] = {
+    {"down", offsetof(struct flt, is_down), true, 0},
+    {"refuse", offsetof(struct flt, is_refusing), true, 0},
+    {"delay_ms", offsetof(struct flt, delay_ms), false, 600000},
+    {"lose_replies", offsetof(struct flt, lose_count), false, 1000000},
+    {"fail_permille", offsetof(struct flt, fail_permille), false, 1000},
+};
+
+static int
+flt_apply_one(struct flt *fault, const char *name, const json_t *value)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(flt_switches); i++) {
+        const struct flt_switch *found = &flt_switches[i];
+        if (strcmp(found->name, name) != 0) {
+            continue;
+        }
+        char *field = (char *)fault + found->offset;
+        if (found->is_flag && json_is_boolean(value)) {
+            *(bool *)field = json_is_true(value);
+            return RC_OK;
+        }
+        int64_t number = json_integer_value(value);
+        if (!found->is_flag && json_is_integer(value) && number >= 0 &&
+            number <= found->max) {
+            *(int64_t *)field = number;
+            return RC_OK;
+        }
+    }
+    return RC_BAD_FIELD;
+}
+
+int
+flt_apply(struct flt *fault, const json_t *switches)
+{
+    struct flt changed = *fault;
+    const char *name;
+    json_t *value;
+    if (!json_is_object(switches)) {
+        return RC_BAD_FIELD;
+    }
+    json_object_foreach((json_t *)switches, name, value)
+    {
+        int rc = flt_apply_one(&changed, name, value);
+        if (rc != RC_OK) {
+            return rc;
+        }
+    }
+    *fault = changed;
+    return RC_OK;
+}
+
+bool
+flt_fails(struct flt *fault)
+{
+    if (fault->fail_permille == 0) {
+        return false;
+    }
+    fault->random ^= fault->random << 13;
+    fault->random ^= fault->random >> 17;
+    fault->random ^= fault->random << 5;
+    return fault->random % 1000 < fault->fail_permille;
+}
+
+bool
+flt_loses_reply(struct flt *fault)
+{
+    if (fault->lose_count == 0) {
+        return false;
+    }
+    fault->lose_count -= 1;
+    return true;
+}
--- /dev/null
+++ b/standin/store_options.c
@@ -0,0 +1,35 @@
+#include <glib.h>
+
+#include "common/opt.h"
+#include "common/rc.h"
+#include "standin/store.h"
+
+int
+sto_options_parse(struct sto_options *options, int argc, char **argv)
+{
+    *options = (struct sto_options){
+        .vm_lag_ms = 0,
+        .log_level = g_strdup("info"),
+    };
+    const struct opt_spec specs[] = {
+        {.name = "listen",
+         .kind = OPT_ADDRESS,
+         .target = &options->listen,
+         .help = "Address of the store",
+         .arg = "IPV4:PORT",
+         .required = 1},
+        {.name = "vm-lag-ms",
+         .kind = OPT_INT,
+         .target = &options->vm_lag_ms,
+         .help = "Lag of the list of VMs in ms (0)",
+         .arg = "MS",
+         .max = 600000},
+        {.name = "log-level",
+         .kind = OPT_STRING,
+         .target = &options->log_level,
+         .help = "error, warn, info or debug (info)",
+         .arg = "LEVEL"},
+    };
+    return opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
+                     "Stand-in for the platform's object store");
+}
