relay: add the relay's decision modules and process

Cause: the program was an empty main. Change: decision modules (cold, searcher, pick, hedge, queue, link, dedup) with the time as an argument, the relay core that joins them without I/O, and the I/O around it: ZeroMQ server and agent client, HTTP links to searchers, HTTP server for operators. Conclusion: ready to be driven by a randomised test and by stand-ins.

--- /dev/null
+++ b/include/relay/cold.h
@@ -0,0 +1,70 @@
+#ifndef CH_RELAY_COLD_H
+#define CH_RELAY_COLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Cold-start curve of one searcher. A searcher is cold after its first
+ * contact, after a new start id and after several slow parts in a row. Its
+ * share of the slots then rises linearly from `share_permille` to 1000.
+ */
+struct cold {
+    uint32_t share_permille;
+    int64_t ramp_us;
+    uint32_t slots;
+    bool is_cold;
+    int64_t since_us;
+    bool has_start;
+    uint64_t start;
+    int64_t norm_us;       /* usual latency while warm, 0 if unknown */
+    uint32_t norm_samples; /* up to COLD_NORM_SAMPLES */
+    uint32_t slow_run;     /* slow parts in a row */
+    int64_t next_start_us; /* pacing while the share is below one slot */
+};
+
+/* The norm counts from this many parts on. */
+#define COLD_NORM_SAMPLES 16
+/* One straggler in 100 makes four in a row a chance of 1 in 10^8. */
+#define COLD_SLOW_RUN 4
+#define COLD_SLOW_FACTOR 4
+
+void cold_init(struct cold *cold, uint32_t share_permille, int64_t ramp_us,
+               uint32_t slots);
+
+/* Takes over changed declarations; the position on the curve stays. */
+void cold_configure(struct cold *cold, uint32_t share_permille,
+                    int64_t ramp_us, uint32_t slots);
+
+/* Starts the curve again. */
+void cold_restart(struct cold *cold, int64_t now_us);
+
+/* Notes a start id. Returns true when it is new. */
+bool cold_note_start(struct cold *cold, uint64_t start, int64_t now_us);
+
+/* Notes the latency of an answered part. Returns true when it turned cold. */
+bool cold_note_latency(struct cold *cold, int64_t latency_us, int64_t now_us);
+
+/* Notes a part without an answer that counts as a slow one. */
+bool cold_note_slow(struct cold *cold, int64_t now_us);
+
+/* True for a latency that counts as slow. */
+bool cold_is_slow(const struct cold *cold, int64_t latency_us);
+
+/* Share of the slots in use at this time, 1000 when warm. */
+uint32_t cold_share_permille(const struct cold *cold, int64_t now_us);
+
+/* Requests allowed in flight, at least 1. */
+uint32_t cold_limit(const struct cold *cold, int64_t now_us);
+
+/* Whether one more request may start beside `in_flight` others. */
+bool cold_may_start(const struct cold *cold, uint32_t in_flight,
+                    int64_t now_us);
+
+/* Notes a start; asserts that cold_may_start() allowed it. */
+void cold_on_start(struct cold *cold, uint32_t in_flight, int64_t now_us);
+
+/* Notes the end of a request that started at `started_us`. */
+void cold_on_finish(struct cold *cold, int64_t started_us, int64_t now_us);
+
+#endif
--- a/include/relay/options.h
+++ b/include/relay/options.h
@@ -5,6 +5,9 @@
 struct relay_options {
     char *machine;
     char *zone;
+    char *listen;      /* ZeroMQ, for entries */
+    char *http_listen; /* for operators */
+    char *agent;       /* ZeroMQ of the local agent */
     char *log_level;
 };
 
--- /dev/null
+++ b/include/relay/searcher.h
@@ -0,0 +1,117 @@
+#ifndef CH_RELAY_SEARCHER_H
+#define CH_RELAY_SEARCHER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/config.h"
+#include "common/counter.h"
+#include "common/msg.h"
+#include "relay/cold.h"
+#include "relay/link.h"
+
+#define SCH_VERSIONS_MAX 64
+
+/* What a searcher says about itself. */
+struct sch_status {
+    uint64_t start;
+    bool is_draining;
+    uint32_t version_count;
+    struct msg_version versions[SCH_VERSIONS_MAX];
+};
+
+/* One searcher of an instance whose contract this machine holds. */
+struct sch {
+    char *name;
+    char *zone;
+    char *address;
+    uint32_t slots;
+    uint32_t in_flight; /* requests on links */
+    GArray *held_until; /* int64_t: slots of requests cancelled just now */
+    bool is_zone_in;
+    bool is_leaving;
+    bool is_removed; /* no longer declared; freed when nothing runs */
+    bool has_status;
+    struct sch_status status;
+    struct cold cold;
+    struct lnk_pool pool;
+    int64_t latency_us; /* moving average, 0 if unknown */
+    int64_t latency_at_us;
+    int64_t answered_us;   /* last answer of any kind, 0 for none */
+    uint32_t strike_count; /* requests without an answer since then */
+    uint64_t started_count;
+    struct cnt_set *counters;
+    void *owner;
+};
+
+/* How a request on a searcher ended. */
+enum sch_end {
+    SCH_ANSWERED,
+    SCH_DECLINED,  /* does not serve the version any more */
+    SCH_SHED,      /* refused or failed, with an answer */
+    SCH_CANCELLED, /* by us; the link was closed */
+    SCH_FAILED,    /* the link was lost or silent */
+    SCH_UNSENT,    /* no byte was sent */
+};
+
+/* A cancelled request keeps its slot this long: the searcher may see the next
+ * request, on another link, before it sees the close. */
+#define SCH_CANCEL_HOLD_US 3000
+/* A searcher without an answer for this long is not offered. */
+#define SCH_LOST_US 3000000
+/* From this many requests without an answer on, others are preferred. */
+#define SCH_STRIKES 2
+/* Assumed latency of a searcher that has not answered yet. */
+#define SCH_LATENCY_GUESS_US 5000
+
+struct sch *sch_new(const struct cfg_service *service,
+                    const struct cfg_searcher *searcher,
+                    const struct lnk_calls *calls, void *ctx, void *owner,
+                    struct cnt_set *counters);
+
+void sch_free(struct sch *sch);
+
+/*
+ * Takes over declarations. A searcher that returns to service starts on its
+ * cold-start curve. Returns true if what it offers changed.
+ */
+bool sch_configure(struct sch *sch, const struct cfg_service *service,
+                   const struct cfg_searcher *searcher, bool is_zone_in,
+                   int64_t now_us);
+
+/* Notes a status answer. Returns true if what it offers changed. */
+bool sch_note_status(struct sch *sch, const struct sch_status *status,
+                     int64_t now_us);
+
+/* Notes the start id of a search answer. */
+void sch_note_start(struct sch *sch, uint64_t start, int64_t now_us);
+
+/* The searcher said that it no longer has the version. */
+void sch_forget_version(struct sch *sch, uint64_t version, uint64_t shard);
+
+bool sch_serves(const struct sch *sch, uint64_t version, uint64_t shard);
+
+/* In service: zone in, not leaving, not draining. */
+bool sch_is_in(const struct sch *sch);
+
+/* In service and answering. */
+bool sch_is_offered(const struct sch *sch, int64_t now_us);
+
+/* Whether a request may start now: RC_OK, RC_LIMIT or RC_ZONE_OUT. */
+int sch_may_start(struct sch *sch, int64_t now_us);
+
+/* Expected time until one more request would be answered. */
+int64_t sch_expected_us(const struct sch *sch, int64_t now_us);
+
+/* Usual time of one request. */
+int64_t sch_service_us(const struct sch *sch);
+
+/* Notes a start; asserts the limits. */
+void sch_on_start(struct sch *sch, int64_t now_us);
+
+/* Notes the end of a request that started at `started_us`. */
+void sch_on_end(struct sch *sch, enum sch_end end, int64_t started_us,
+                int64_t now_us);
+
+#endif
--- /dev/null
+++ b/relay/backend.c
@@ -0,0 +1,126 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay/backend.h"
+#include "relay/server.h"
+#include "relay/wire.h"
+#include "common/http_client.h"
+#include "common/rc.h"
+
+/* Limit of a searcher's response body. */
+#define BKD_BODY_BYTES (1U << 20)
+
+static void
+bkd_on_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    rly_on_connected(ctx, rc, srv_now_us());
+}
+
+static void
+bkd_on_lost(struct hcl_conn *conn, void *ctx)
+{
+    rly_on_lost(ctx, RC_LINK_LOST, srv_now_us());
+}
+
+int
+bkd_connect(struct lnk *link, void *ctx)
+{
+    const struct srv *server = ctx;
+    const struct sch *sch = link->pool->owner;
+    struct hcl_conn *conn = NULL;
+    int rc = hcl_connect(server->loop, sch->address, BKD_BODY_BYTES,
+                         bkd_on_connected, bkd_on_lost, link, &conn);
+    link->io = conn;
+    return rc;
+}
+
+void
+bkd_close(struct lnk *link, void *ctx)
+{
+    hcl_close(link->io);
+    link->io = NULL;
+}
+
+static void
+bkd_on_status(struct hcl_conn *conn, const struct hcl_response *response,
+              void *ctx)
+{
+    if (response->rc != RC_OK) {
+        rly_on_lost(ctx, response->rc, srv_now_us());
+        return;
+    }
+    struct sch_status status;
+    int rc = wir_read_status(response->status, response->body,
+                             response->body_bytes, &status);
+    rly_on_status(ctx, rc == RC_OK ? &status : NULL, response->is_keepalive,
+                  srv_now_us());
+}
+
+int
+bkd_probe(struct lnk *link, void *ctx)
+{
+    return hcl_request(link->io, "GET", "/status", NULL, NULL, 0,
+                       bkd_on_status, link);
+}
+
+static void
+bkd_on_search(struct hcl_conn *conn, const struct hcl_response *response,
+              void *ctx)
+{
+    if (response->rc != RC_OK) {
+        rly_on_lost(ctx, response->rc, srv_now_us());
+        return;
+    }
+    struct wir_answer answer;
+    wir_read_search(response->status, response->body, response->body_bytes,
+                    &answer);
+    answer.answer.is_reusable = response->is_keepalive;
+    rly_on_answer(ctx, &answer.answer, srv_now_us());
+    wir_answer_clear(&answer);
+}
+
+static void
+bkd_on_executed(struct hcl_conn *conn, const struct hcl_response *response,
+                void *ctx)
+{
+    if (response->rc != RC_OK) {
+        rly_on_lost(ctx, response->rc, srv_now_us());
+        return;
+    }
+    struct wir_answer answer;
+    wir_read_execute(response->status, response->body, response->body_bytes,
+                     &answer);
+    answer.answer.is_reusable = response->is_keepalive;
+    rly_on_answer(ctx, &answer.answer, srv_now_us());
+    wir_answer_clear(&answer);
+}
+
+static int
+bkd_send(struct lnk *link, const char *path, char *body,
+         hcl_response_cb on_response)
+{
+    if (body == NULL) {
+        return RC_LINK_FAILED;
+    }
+    int rc = hcl_request(link->io, "POST", path, NULL, body, strlen(body),
+                         on_response, link);
+    free(body);
+    /* Whatever the reason, no byte was handed over. */
+    return rc == RC_OK ? RC_OK : RC_LINK_FAILED;
+}
+
+int
+bkd_search(struct lnk *link, const struct job *job, int64_t budget_us,
+           void *ctx)
+{
+    return bkd_send(link, "/search", wir_search_body(job, budget_us),
+                    bkd_on_search);
+}
+
+int
+bkd_execute(struct lnk *link, const struct job *job, int64_t budget_us,
+            void *ctx)
+{
+    return bkd_send(link, "/execute", wir_execute_body(job, budget_us),
+                    bkd_on_executed);
+}
--- a/relay/main.c
+++ b/relay/main.c
@@ -1,4 +1,5 @@
 #include "relay/options.h"
+#include "relay/server.h"
 #include "common/log.h"
 #include "common/rc.h"
 
@@ -12,7 +13,7 @@
     if (log_open("relay", options.machine, options.log_level) != RC_OK) {
         return 2;
     }
-    log_info("main", "started zone=%s", options.zone);
+    int rc = srv_run(&options);
     log_close();
-    return 0;
+    return rc == RC_OK ? 0 : 1;
 }
