Add the agent's decision modules and the process around them

The agent was a stub that parsed its flags. It now has the lease rules, contracts, revisions, membership and gossip as modules without I/O, and the store client, peers, subscribers and operators' interface on top. Builds; not yet tried against a store.

--- /dev/null
+++ b/agent/subscriber.c
@@ -0,0 +1,195 @@
+#include <glib.h>
+#include <string.h>
+
+#include "agent/subscriber.h"
+#include "common/log.h"
+#include "common/rc.h"
+
+struct sub_one {
+    struct zsk_peer client;
+    bool is_relay;
+    uint64_t start;
+    int64_t heard_us;
+    int64_t state_us;  /* when the last STATE was sent */
+    uint64_t revision; /* the last one sent with its document */
+    bool has_state;    /* the newest STATE went out */
+    bool is_stopping;
+};
+
+struct sub {
+    struct prs *peers;
+    struct cnt_set *counters;
+    GPtrArray *ones;
+    int64_t relay_lost_us;
+    uint64_t seq;
+};
+
+struct sub *
+sub_new(struct prs *peers, struct cnt_set *counters)
+{
+    struct sub *subscribers = g_new0(struct sub, 1);
+    subscribers->peers = peers;
+    subscribers->counters = counters;
+    subscribers->ones = g_ptr_array_new_with_free_func(g_free);
+    subscribers->relay_lost_us = INT64_MIN / 2;
+    return subscribers;
+}
+
+void
+sub_free(struct sub *subscribers)
+{
+    if (subscribers == NULL) {
+        return;
+    }
+    g_ptr_array_free(subscribers->ones, TRUE);
+    g_free(subscribers);
+}
+
+static struct sub_one *
+sub_at(const struct sub *subscribers, guint i)
+{
+    return g_ptr_array_index(subscribers->ones, i);
+}
+
+static struct sub_one *
+sub_find_role(const struct sub *subscribers, bool is_relay)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        if (sub_at(subscribers, i)->is_relay == is_relay) {
+            return sub_at(subscribers, i);
+        }
+    }
+    return NULL;
+}
+
+static bool
+sub_is_client(const struct sub_one *one, const struct zsk_peer *client)
+{
+    return one->client.id_bytes == client->id_bytes &&
+           memcmp(one->client.id, client->id, client->id_bytes) == 0;
+}
+
+bool
+sub_on_subscribe(struct sub *subscribers, int64_t now_us,
+                 const struct prs_from *from,
+                 const struct msg_subscribe *message)
+{
+    bool is_relay = strcmp(message->role, "relay") == 0;
+    if (!is_relay && strcmp(message->role, "entry") != 0) {
+        cnt_add(subscribers->counters, "messages_dropped_total", "role");
+        return false;
+    }
+    struct sub_one *one = sub_find_role(subscribers, is_relay);
+    bool is_replaced = one != NULL && is_relay && one->start != message->start;
+    if (one == NULL || one->start != message->start ||
+        !sub_is_client(one, from->peer)) {
+        if (one == NULL) {
+            one = g_new0(struct sub_one, 1);
+            g_ptr_array_add(subscribers->ones, one);
+        }
+        *one = (struct sub_one){
+            .client = *from->peer,
+            .is_relay = is_relay,
+            .start = message->start,
+            .state_us = INT64_MIN / 2,
+        };
+        log_info("subscriber", "subscribed role=%s", message->role);
+    }
+    one->heard_us = now_us;
+    return is_replaced;
+}
+
+void
+sub_on_stopping(struct sub *subscribers, const struct prs_from *from,
+                const struct msg_stopping *message)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        struct sub_one *one = sub_at(subscribers, i);
+        if (sub_is_client(one, from->peer)) {
+            one->is_stopping = true;
+            log_info("subscriber", "stopping role=%s", message->role);
+        }
+    }
+}
+
+void
+sub_tick(struct sub *subscribers, int64_t now_us)
+{
+    for (guint i = subscribers->ones->len; i > 0; i--) {
+        const struct sub_one *one = sub_at(subscribers, i - 1);
+        if (now_us - one->heard_us < SUB_SILENCE_US) {
+            continue;
+        }
+        log_warn("subscriber", "silent role=%s",
+                 one->is_relay ? "relay" : "entry");
+        cnt_add(subscribers->counters, "subscribers_dropped_total",
+                one->is_relay ? "relay" : "entry");
+        if (one->is_relay) {
+            subscribers->relay_lost_us = now_us;
+        }
+        g_ptr_array_remove_index(subscribers->ones, i - 1);
+    }
+}
+
+enum sub_relay
+sub_relay_state(const struct sub *subscribers)
+{
+    const struct sub_one *relay = sub_find_role(subscribers, true);
+    if (relay == NULL) {
+        return SUB_RELAY_NONE;
+    }
+    return relay->is_stopping ? SUB_RELAY_STOPPING : SUB_RELAY_UP;
+}
+
+int64_t
+sub_relay_lost_us(const struct sub *subscribers)
+{
+    return subscribers->relay_lost_us;
+}
+
+bool
+sub_is_due(const struct sub *subscribers, int64_t now_us)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        const struct sub_one *one = sub_at(subscribers, i);
+        if (!one->has_state || now_us - one->state_us >= SUB_STATE_US) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+sub_send_state(struct sub *subscribers, int64_t now_us,
+               struct msg_state *state)
+{
+    const struct msg_bin document = state->config;
+    subscribers->seq += 1;
+    state->seq = subscribers->seq;
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        struct sub_one *one = sub_at(subscribers, i);
+        state->config = document;
+        if (one->revision == state->revision) {
+            state->config = (struct msg_bin){.bytes = 0};
+        }
+        int rc = prs_send_client(subscribers->peers, &one->client, MSG_STATE,
+                                 state);
+        one->has_state = rc == RC_OK;
+        if (rc == RC_OK) {
+            one->state_us = now_us;
+            one->revision = state->revision;
+        }
+    }
+}
+
+void
+sub_send_lease(struct sub *subscribers, const struct msg_lease *lease)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        const struct sub_one *one = sub_at(subscribers, i);
+        if (one->has_state) {
+            (void)prs_send_client(subscribers->peers, &one->client, MSG_LEASE,
+                                  lease);
+        }
+    }
+}
