Read the operators' YAML files and merge overlays

Cause: carobhatchctl needs one document from a base file and an overlay, with errors that name file, line and field.

--- /dev/null
+++ b/ctl/tree.c
@@ -0,0 +1,420 @@
+#include <errno.h>
+#include <string.h>
+#include <yaml.h>
+
+#include "common/rc.h"
+#include "ctl/tree.h"
+
+/* The schema is 7 levels deep; this only bounds the recursion. */
+#define TREE_MAX_DEPTH 32
+
+struct tre_reader {
+    yaml_parser_t parser;
+    const char *file;
+    GString *path;
+    int depth;
+    char *error;
+};
+
+static struct tre_node *tre_read_value(struct tre_reader *reader,
+                                       yaml_event_t *event);
+
+static struct tre_node *
+tre_new(enum tre_kind kind, const char *file, int line)
+{
+    struct tre_node *node = g_new0(struct tre_node, 1);
+    node->kind = kind;
+    node->file = file;
+    node->line = line;
+    if (kind == TRE_MAP) {
+        node->keys = g_ptr_array_new_with_free_func(g_free);
+    }
+    if (kind != TRE_SCALAR) {
+        node->items = g_ptr_array_new_with_free_func((GDestroyNotify)tre_free);
+    }
+    return node;
+}
+
+struct tre_node *
+tre_new_like(const struct tre_node *node)
+{
+    return tre_new(node->kind, node->file, node->line);
+}
+
+void
+tre_free(struct tre_node *node)
+{
+    if (node == NULL) {
+        return;
+    }
+    if (node->keys != NULL) {
+        g_ptr_array_free(node->keys, TRUE);
+    }
+    if (node->items != NULL) {
+        g_ptr_array_free(node->items, TRUE);
+    }
+    g_free(node->text);
+    g_free(node);
+}
+
+struct tre_node *
+tre_get(const struct tre_node *map, const char *key)
+{
+    for (guint i = 0; i < map->keys->len; i++) {
+        if (strcmp(g_ptr_array_index(map->keys, i), key) == 0) {
+            return g_ptr_array_index(map->items, i);
+        }
+    }
+    return NULL;
+}
+
+void
+tre_put(struct tre_node *map, const char *key, struct tre_node *value)
+{
+    g_ptr_array_add(map->keys, g_strdup(key));
+    g_ptr_array_add(map->items, value);
+}
+
+char *
+tre_fault(const struct tre_node *node, const char *path, const char *what)
+{
+    return g_strdup_printf("%s:%d: %s: %s", node->file, node->line,
+                           path[0] != '\0' ? path : "document", what);
+}
+
+static int
+tre_line(yaml_mark_t mark)
+{
+    return (int)mark.line + 1;
+}
+
+static void
+tre_fail(struct tre_reader *reader, yaml_mark_t mark, const char *what)
+{
+    if (reader->error != NULL) {
+        return;
+    }
+    reader->error = g_strdup_printf(
+        "%s:%d: %s: %s", reader->file, tre_line(mark),
+        reader->path->len > 0 ? reader->path->str : "document", what);
+}
+
+static bool
+tre_next(struct tre_reader *reader, yaml_event_t *event)
+{
+    if (yaml_parser_parse(&reader->parser, event)) {
+        return true;
+    }
+    const yaml_parser_t *parser = &reader->parser;
+    char *what = g_strdup_printf(
+        "%s%s%s", parser->problem, parser->context != NULL ? " " : "",
+        parser->context != NULL ? parser->context : "");
+    tre_fail(reader, parser->problem_mark, what);
+    g_free(what);
+    return false;
+}
+
+/* Refuses what JSON cannot express. */
+static bool
+tre_is_simple(struct tre_reader *reader, const yaml_event_t *event)
+{
+    const yaml_char_t *anchor = NULL;
+    const yaml_char_t *tag = NULL;
+    switch (event->type) {
+    case YAML_ALIAS_EVENT:
+        tre_fail(reader, event->start_mark, "aliases are not allowed");
+        return false;
+    case YAML_SCALAR_EVENT:
+        anchor = event->data.scalar.anchor;
+        tag = event->data.scalar.tag;
+        break;
+    case YAML_MAPPING_START_EVENT:
+        anchor = event->data.mapping_start.anchor;
+        tag = event->data.mapping_start.tag;
+        break;
+    case YAML_SEQUENCE_START_EVENT:
+        anchor = event->data.sequence_start.anchor;
+        tag = event->data.sequence_start.tag;
+        break;
+    default:
+        break;
+    }
+    if (anchor != NULL || tag != NULL) {
+        tre_fail(reader, event->start_mark,
+                 anchor != NULL ? "anchors are not allowed"
+                                : "tags are not allowed");
+        return false;
+    }
+    return true;
+}
+
+static bool
+tre_read_pair(struct tre_reader *reader, struct tre_node *map,
+              yaml_event_t *key)
+{
+    if (key->type != YAML_SCALAR_EVENT || !tre_is_simple(reader, key)) {
+        tre_fail(reader, key->start_mark, "a key must be a scalar");
+        return false;
+    }
+    const char *text = (const char *)key->data.scalar.value;
+    gsize back = reader->path->len;
+    g_string_append_printf(reader->path, "%s%s", back > 0 ? "." : "", text);
+    if (tre_get(map, text) != NULL) {
+        tre_fail(reader, key->start_mark, "key is used twice");
+        return false;
+    }
+    yaml_event_t event;
+    if (!tre_next(reader, &event)) {
+        return false;
+    }
+    struct tre_node *value = tre_read_value(reader, &event);
+    yaml_event_delete(&event);
+    if (value == NULL) {
+        return false;
+    }
+    value->line = tre_line(key->start_mark);
+    tre_put(map, text, value);
+    g_string_truncate(reader->path, back);
+    return true;
+}
+
+static bool
+tre_read_item(struct tre_reader *reader, struct tre_node *list,
+              yaml_event_t *event)
+{
+    gsize back = reader->path->len;
+    g_string_append_printf(reader->path, "[%u]", list->items->len);
+    struct tre_node *value = tre_read_value(reader, event);
+    if (value == NULL) {
+        return false;
+    }
+    g_ptr_array_add(list->items, value);
+    g_string_truncate(reader->path, back);
+    return true;
+}
+
+static bool
+tre_read_members(struct tre_reader *reader, struct tre_node *node)
+{
+    yaml_event_type_t end = node->kind == TRE_MAP ? YAML_MAPPING_END_EVENT
+                                                  : YAML_SEQUENCE_END_EVENT;
+    for (;;) {
+        yaml_event_t event;
+        if (!tre_next(reader, &event)) {
+            return false;
+        }
+        bool is_end = event.type == end;
+        bool is_read = is_end;
+        if (!is_end) {
+            is_read = node->kind == TRE_MAP
+                          ? tre_read_pair(reader, node, &event)
+                          : tre_read_item(reader, node, &event);
+        }
+        yaml_event_delete(&event);
+        if (is_end || !is_read) {
+            return is_read;
+        }
+    }
+}
+
+static struct tre_node *
+tre_read_value(struct tre_reader *reader, yaml_event_t *event)
+{
+    if (!tre_is_simple(reader, event)) {
+        return NULL;
+    }
+    int line = tre_line(event->start_mark);
+    if (event->type == YAML_SCALAR_EVENT) {
+        struct tre_node *scalar = tre_new(TRE_SCALAR, reader->file, line);
+        scalar->text = g_strdup((const char *)event->data.scalar.value);
+        scalar->is_plain = event->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
+        /* A byte 0 inside the text would hide the rest of it. */
+        if (strlen(scalar->text) != event->data.scalar.length) {
+            tre_fail(reader, event->start_mark, "holds a byte 0");
+            tre_free(scalar);
+            return NULL;
+        }
+        return scalar;
+    }
+    if (reader->depth >= TREE_MAX_DEPTH) {
+        tre_fail(reader, event->start_mark, "is nested too deeply");
+        return NULL;
+    }
+    struct tre_node *node =
+        tre_new(event->type == YAML_MAPPING_START_EVENT ? TRE_MAP : TRE_LIST,
+                reader->file, line);
+    reader->depth += 1;
+    bool is_read = tre_read_members(reader, node);
+    reader->depth -= 1;
+    if (!is_read) {
+        tre_free(node);
+        return NULL;
+    }
+    return node;
+}
+
+/* Reads the next event, which must have this type. */
+static bool
+tre_expect(struct tre_reader *reader, yaml_event_type_t type)
+{
+    yaml_event_t event;
+    if (!tre_next(reader, &event)) {
+        return false;
+    }
+    bool is_expected = event.type == type;
+    if (!is_expected) {
+        tre_fail(reader, event.start_mark, "must hold a single document");
+    }
+    yaml_event_delete(&event);
+    return is_expected;
+}
+
+static struct tre_node *
+tre_read_document(struct tre_reader *reader)
+{
+    yaml_event_t event;
+    if (!tre_expect(reader, YAML_STREAM_START_EVENT) ||
+        !tre_next(reader, &event)) {
+        return NULL;
+    }
+    bool is_empty = event.type == YAML_STREAM_END_EVENT;
+    yaml_event_delete(&event);
+    if (is_empty) {
+        return tre_new(TRE_MAP, reader->file, 1);
+    }
+    if (!tre_next(reader, &event)) {
+        return NULL;
+    }
+    struct tre_node *root = tre_read_value(reader, &event);
+    yaml_event_delete(&event);
+    if (root == NULL) {
+        return NULL;
+    }
+    if (!tre_expect(reader, YAML_DOCUMENT_END_EVENT) ||
+        !tre_expect(reader, YAML_STREAM_END_EVENT)) {
+        tre_free(root);
+        return NULL;
+    }
+    return root;
+}
+
+int
+tre_read_text(const char *file, const char *text, size_t text_bytes,
+              struct tre_node **out, char **error)
+{
+    struct tre_reader reader = {
+        .file = g_intern_string(file),
+        .path = g_string_new(NULL),
+    };
+    if (!yaml_parser_initialize(&reader.parser)) {
+        g_string_free(reader.path, TRUE);
+        *error = g_strdup("out of memory");
+        return RC_NO_MEMORY;
+    }
+    yaml_parser_set_input_string(&reader.parser, (const unsigned char *)text,
+                                 text_bytes);
+    struct tre_node *root = tre_read_document(&reader);
+    if (root != NULL && root->kind != TRE_MAP) {
+        g_string_truncate(reader.path, 0);
+        reader.error = tre_fault(root, "", "must be a map");
+        tre_free(root);
+        root = NULL;
+    }
+    yaml_parser_delete(&reader.parser);
+    g_string_free(reader.path, TRUE);
+    *out = root;
+    *error = reader.error;
+    return root != NULL ? RC_OK : RC_INVALID;
+}
+
+int
+tre_read_file(const char *path, struct tre_node **out, char **error)
+{
+    char *text = NULL;
+    gsize text_bytes = 0;
+    GError *fault = NULL;
+    if (!g_file_get_contents(path, &text, &text_bytes, &fault)) {
+        *error = g_strdup_printf("%s:0: document: %s", path, fault->message);
+        g_error_free(fault);
+        return RC_INVALID;
+    }
+    int rc = tre_read_text(path, text, text_bytes, out, error);
+    g_free(text);
+    return rc;
+}
+
+/* Whole numbers as JSON writes them; 010 and 1_000 stay texts. */
+static bool
+tre_is_number(const char *text, int64_t *out)
+{
+    const char *digits = text[0] == '-' ? text + 1 : text;
+    size_t length = strlen(digits);
+    if (length == 0 || strspn(digits, "0123456789") != length ||
+        (digits[0] == '0' && length > 1)) {
+        return false;
+    }
+    errno = 0;
+    *out = g_ascii_strtoll(text, NULL, 10);
+    return errno == 0;
+}
+
+static json_t *
+tre_scalar_to_json(const struct tre_node *node)
+{
+    int64_t number = 0;
+    if (!node->is_plain) {
+        return json_string(node->text);
+    }
+    if (tre_is_number(node->text, &number)) {
+        return json_integer(number);
+    }
+    if (strcmp(node->text, "true") == 0 || strcmp(node->text, "false") == 0) {
+        return json_boolean(node->text[0] == 't');
+    }
+    if (strcmp(node->text, "") == 0 || strcmp(node->text, "~") == 0 ||
+        strcmp(node->text, "null") == 0) {
+        return json_null();
+    }
+    return json_string(node->text);
+}
+
+static json_t *
+tre_convert(const struct tre_node *node, GString *path, GHashTable *places)
+{
+    g_hash_table_insert(places, g_strdup(path->str),
+                        g_strdup_printf("%s:%d", node->file, node->line));
+    if (node->kind == TRE_SCALAR) {
+        return tre_scalar_to_json(node);
+    }
+    bool is_map = node->kind == TRE_MAP;
+    json_t *json = is_map ? json_object() : json_array();
+    for (guint i = 0; i < node->items->len; i++) {
+        const char *key = is_map ? g_ptr_array_index(node->keys, i) : NULL;
+        gsize back = path->len;
+        if (is_map) {
+            g_string_append_printf(path, "%s%s", back > 0 ? "." : "", key);
+        }
+        else {
+            g_string_append_printf(path, "[%u]", i);
+        }
+        json_t *value =
+            tre_convert(g_ptr_array_index(node->items, i), path, places);
+        if (is_map) {
+            json_object_set_new(json, key, value);
+        }
+        else {
+            json_array_append_new(json, value);
+        }
+        g_string_truncate(path, back);
+    }
+    return json;
+}
+
+json_t *
+tre_to_json(const struct tre_node *node, GHashTable *places)
+{
+    GString *path = g_string_new(NULL);
+    json_t *json = tre_convert(node, path, places);
+    g_string_free(path, TRUE);
+    return json;
+}
--- /dev/null
+++ b/tests/ctl/test_files.c
@@ -0,0 +1,131 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/rc.h"
+#include "ctl/files.h"
+#include "script.h"
+
+/* A whole base file; its line numbers are those of the expected errors. */
+static const char whole_base[] = "cluster: lodz\n"
+                                 "zones:\n"
+                                 "  - name: a\n"
+                                 "  - name: b\n"
+                                 "callers:\n"
+                                 "  - {name: desk, quota_per_s: 50}\n"
+                                 "services:\n"
+                                 "  - name: d\n"
+                                 "    slots: 2\n"
+                                 "    connections: 25\n"
+                                 "    connect_cost_us: 6000\n"
+                                 "    instances:\n"
+                                 "      - name: d0\n"
+                                 "        searchers:\n"
+                                 "          - name: x\n"
+                                 "            zone: a\n"
+                                 "            address: 127.0.0.1:1\n"
+                                 "          - name: y\n"
+                                 "            zone: b\n"
+                                 "            address: 127.0.0.1:2\n";
+
+static void
+write_lines(const char *path, int first, int argc, char **argv)
+{
+    GString *text = g_string_new(NULL);
+    for (int i = first; i < argc; i++) {
+        g_string_append_printf(text, "%s\n", argv[i]);
+    }
+    assert_true(g_file_set_contents(path, text->str, -1, NULL));
+    g_string_free(text, TRUE);
+}
+
+static void
+print_load(const char *overlay, GString *out)
+{
+    struct fil_document document = {.root = NULL};
+    char *error = NULL;
+    int rc = fil_load("base.yaml", overlay, &document, &error);
+    if (rc == RC_OK) {
+        char *text = fil_encode(document.root);
+        g_string_append(out, text);
+        free(text);
+        fil_clear(&document);
+    }
+    else {
+        g_string_append_printf(out, "%s %s", rc_name(rc), error);
+    }
+    g_free(error);
+}
+
+/* base LINE...: what the tool makes of this base file alone. */
+static void
+run_base(void *ctx, int argc, char **argv, GString *out)
+{
+    write_lines("base.yaml", 1, argc, argv);
+    print_load(NULL, out);
+}
+
+/* overlay LINE...: this overlay over the whole base file. */
+static void
+run_overlay(void *ctx, int argc, char **argv, GString *out)
+{
+    assert_true(g_file_set_contents("base.yaml", whole_base, -1, NULL));
+    write_lines("site.yaml", 1, argc, argv);
+    print_load("site.yaml", out);
+}
+
+/*
+ * change LINE TEXT [OVERLAY-LINE...]: the whole base file with one line
+ * replaced.
+ */
+static void
+run_change(void *ctx, int argc, char **argv, GString *out)
+{
+    char **lines = g_strsplit(whole_base, "\n", -1);
+    gint64 line = scr_number(argc, argv, 1);
+    assert_true(line >= 1 && line <= (gint64)g_strv_length(lines));
+    g_free(lines[line - 1]);
+    lines[line - 1] = g_strdup(argv[2]);
+    char *text = g_strjoinv("\n", lines);
+    assert_true(g_file_set_contents("base.yaml", text, -1, NULL));
+    g_free(text);
+    g_strfreev(lines);
+    write_lines("site.yaml", 3, argc, argv);
+    print_load(argc > 3 ? "site.yaml" : NULL, out);
+}
+
+static const struct scr_command commands[] = {
+    {"base", run_base},
+    {"overlay", run_overlay},
+    {"change", run_change},
+};
+
+static void
+test_files(void **state)
+{
+    char *directory = g_dir_make_tmp("ctl-files-XXXXXX", NULL);
+    assert_non_null(directory);
+    assert_int_equal(chdir(directory), 0);
+    assert_int_equal(scr_run(SCRIPT_DIR "/files.txt", commands,
+                             G_N_ELEMENTS(commands), NULL),
+                     0);
+    (void)g_unlink("base.yaml");
+    (void)g_unlink("site.yaml");
+    (void)g_rmdir(directory);
+    g_free(directory);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_files),
+    };
+    return cmocka_run_group_tests_name("files", tests, NULL, NULL);
+}
