Add standin-searcher: many searchers with adjustable faults in one process

Cause: relay, entry and the demo need searchers that shed, turn cold, change versions, go silent and answer wrongly on demand.

Change: searcher i listens on base-port + i and serves shard i / replicas. Hits follow from version, shard and query alone. Admin calls also work on a port of their own, since the first searcher can be down.

--- /dev/null
+++ b/include/standin/fleet.h
@@ -0,0 +1,41 @@
+#ifndef CH_STANDIN_FLEET_H
+#define CH_STANDIN_FLEET_H
+
+#include <stdint.h>
+#include <uv.h>
+
+struct fle_options {
+    char *listen_host;
+    int64_t base_port;
+    int64_t admin_port; /* 0: the one after the last searcher */
+    int64_t count;
+    int64_t shards;
+    int64_t replicas;
+    int64_t slots;
+    int64_t connections;
+    int64_t connect_cost_us;
+    int64_t service_us;
+    char *service_dist; /* fixed or exp */
+    int64_t straggler_permille;
+    int64_t straggler_factor;
+    int64_t cold_factor;
+    int64_t cold_ms;
+    char *versions;
+    char *zones; /* names with commas, "" for none */
+    int64_t seed;
+    char *log_level;
+};
+
+int fle_options_parse(struct fle_options *options, int argc, char **argv);
+
+/* The searchers of one process; searcher i listens on base_port + i. */
+struct fle;
+
+/*
+ * Starts all searchers and the admin port, which works whatever state the
+ * searchers are in. Returns RC_OK, RC_USAGE, RC_INVALID or RC_IO.
+ */
+int fle_open(uv_loop_t *loop, const struct fle_options *options,
+             struct fle **out);
+
+#endif
--- /dev/null
+++ b/standin/searcher_reply.c
@@ -0,0 +1,120 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/answer.h"
+#include "standin/searcher_reply.h"
+
+/* Above any limit that a relay could have for one shard's answer. */
+#define SRE_OVERSIZE_BYTES ((size_t)8 * 1024 * 1024)
+
+void
+sre_json(struct wir_conn *conn, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    wir_respond(conn, status, text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+void
+sre_not_run(struct wir_conn *conn)
+{
+    static const char body[] = "{\"run\": false}";
+    wir_respond(conn, 503, body, strlen(body));
+}
+
+void
+sre_version_gone(struct sea *searcher, struct wir_conn *conn)
+{
+    sre_json(conn, 409,
+             json_pack("{s:o}", "versions", sea_version_list(searcher)));
+}
+
+static void
+sre_oversized(struct wir_conn *conn, const char *text)
+{
+    GString *padded = g_string_new(text);
+    size_t text_bytes = padded->len;
+    g_string_set_size(padded, SRE_OVERSIZE_BYTES);
+    memset(padded->str + text_bytes, ' ', SRE_OVERSIZE_BYTES - text_bytes);
+    wir_respond(conn, 200, padded->str, padded->len);
+    g_string_free(padded, TRUE);
+}
+
+static bool
+sre_take(int64_t *left)
+{
+    if (*left <= 0) {
+        return false;
+    }
+    *left -= 1;
+    return true;
+}
+
+void
+sre_result(struct sea *searcher, struct wir_conn *conn, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    if (sre_take(&searcher->truncate_next)) {
+        wir_respond_truncated(conn, 200, text, strlen(text));
+    }
+    else if (sre_take(&searcher->duplicate_next)) {
+        wir_respond_twice(conn, 200, text, strlen(text));
+    }
+    else if (sre_take(&searcher->oversize_next)) {
+        sre_oversized(conn, text);
+    }
+    else {
+        wir_respond(conn, 200, text, strlen(text));
+    }
+    free(text);
+    json_decref(body);
+}
+
+json_t *
+sre_search(const struct sea *searcher, int64_t version, uint32_t shard,
+           const char *query, int64_t limit)
+{
+    struct ans_hit hits[ANS_HITS_PER_SHARD];
+    ans_hits(version, shard, query, hits);
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < ANS_HITS_PER_SHARD && i < limit; i++) {
+        json_array_append_new(
+            list, json_pack("[I, s]", (json_int_t)hits[i].score, hits[i].id));
+    }
+    ans_hits_clear(hits, ANS_HITS_PER_SHARD);
+    return json_pack("{s:I, s:i, s:I, s:o}", "version", (json_int_t)version,
+                     "shard", (int)shard, "start", (json_int_t)searcher->start,
+                     "hits", list);
+}
+
+static char *
+sre_status_text(const struct sea *searcher)
+{
+    int64_t load = searcher->load_shown_permille;
+    if (load < 0) {
+        load = searcher->in_use * 1000 / searcher->slots;
+    }
+    json_t *body =
+        json_pack("{s:I, s:b, s:I, s:o}", "start", (json_int_t)searcher->start,
+                  "draining", searcher->is_draining, "load", (json_int_t)load,
+                  "versions", sea_version_list(searcher));
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+void
+sre_status(struct sea *searcher, struct wir_conn *conn, int64_t now_us)
+{
+    int64_t age_us = now_us - searcher->status_at_us;
+    if (searcher->status_text == NULL ||
+        age_us >= searcher->status_lag_ms * 1000) {
+        free(searcher->status_text);
+        searcher->status_text = sre_status_text(searcher);
+        searcher->status_at_us = now_us;
+    }
+    wir_respond(conn, 200, searcher->status_text,
+                strlen(searcher->status_text));
+}
