Give the stand-in searchers of the local deployment fixed admin ports

Cause: standin-searcher takes the number of searchers and the admin port as flags; the scripts assumed defaults.

Change: counts and admin ports in scripts/lodz.sh.

--- a/scripts/lodz.sh
+++ b/scripts/lodz.sh
@@ -2,25 +2,25 @@
 # Searcher ports must match examples/lodz.
 
 LODZ_ZONES=(widzew baluty gorna)
-LODZ_DISPATCH_PORT=40000
-LODZ_BILLING_PORT=40100
-LODZ_TANKER_PORT=40200
-LODZ_SHEETS_PORT=40300
+DISPATCH_ADMIN=127.0.0.1:40099
+BILLING_ADMIN=127.0.0.1:40199
+TANKER_ADMIN=127.0.0.1:40299
+SHEETS_ADMIN=127.0.0.1:40399
 
 # lodz_searchers [flags for the dispatch desk...]
 lodz_searchers() {
     local searcher=$BIN/standin/standin-searcher
-    dep_spawn dispatch "$searcher" --base-port $LODZ_DISPATCH_PORT \
-        --shards 20 --replicas 2 --slots 2 --connections 25 \
+    dep_spawn dispatch "$searcher" --base-port 40000 \
+        --admin-port 40099 --count 40 --shards 20 --replicas 2 --slots 2 --connections 25 \
         --connect-cost-us 6000 --zones widzew,baluty,gorna "$@"
-    dep_spawn billing "$searcher" --base-port $LODZ_BILLING_PORT \
-        --shards 30 --replicas 2 --slots 2 --connections 25 \
+    dep_spawn billing "$searcher" --base-port 40100 \
+        --admin-port 40199 --count 60 --shards 30 --replicas 2 --slots 2 --connections 25 \
         --connect-cost-us 6000 --zones widzew,baluty,gorna
-    dep_spawn tanker "$searcher" --base-port $LODZ_TANKER_PORT \
-        --shards 1 --replicas 5 --slots 4 --connections 100 \
+    dep_spawn tanker "$searcher" --base-port 40200 \
+        --admin-port 40299 --count 5 --shards 1 --replicas 5 --slots 4 --connections 100 \
         --connect-cost-us 1000 --zones widzew,baluty,gorna
-    dep_spawn sheets "$searcher" --base-port $LODZ_SHEETS_PORT \
-        --shards 1 --replicas 3 --slots 4 --connections 100 \
+    dep_spawn sheets "$searcher" --base-port 40300 \
+        --admin-port 40399 --count 3 --shards 1 --replicas 3 --slots 4 --connections 100 \
         --connect-cost-us 1000 --zones widzew,baluty,gorna
 }
 
