entry: serve searches, orders, ids and addresses

Cause: carobhatch-entry only parsed its settings.

Conclusion: not yet run against a real agent or relay.

--- /dev/null
+++ b/entry/answer.c
@@ -0,0 +1,34 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/answer.h"
+
+#define ANS_JSON_TYPE "application/json"
+
+void
+ans_json(struct hsv_request *request, int status, json_t *value)
+{
+    char *text = json_dumps(value, JSON_COMPACT);
+    json_decref(value);
+    if (text == NULL) {
+        static const char failed[] = "{}";
+        hsv_respond(request, 500, ANS_JSON_TYPE, failed, strlen(failed));
+        return;
+    }
+    hsv_respond(request, status, ANS_JSON_TYPE, text, strlen(text));
+    free(text);
+}
+
+void
+ans_error(struct hsv_request *request, struct cnt_set *counters, int rc,
+          enum rc_run run, const char *field, const char *message)
+{
+    cnt_add(counters, "refused_total", rc_name(rc));
+    json_t *error = json_pack("{s:i, s:s, s:s, s:s}", "code", rc, "name",
+                              rc_name(rc), "run", rc_run_name(run), "message",
+                              message != NULL ? message : rc_text(rc));
+    if (field != NULL) {
+        json_object_set_new(error, "field", json_string(field));
+    }
+    ans_json(request, rc_http_status(rc), error);
+}
