--- a/agent/agent.c
+++ b/agent/agent.c
@@ -53,7 +53,8 @@
     *out = (struct ctr_machine){
         .name = machine->name,
         .start = machine->start,
-        .heard_us = lse_heard_us(agent->lease, machine->name, machine->start),
+        .accepted_us =
+            lse_accepted_us(agent->lease, machine->name, machine->start),
         .is_in_cell = lse_is_member(agent->lease, machine->name),
         .can_hold =
             state == MSG_MACHINE_LIVE && machine->relay_address[0] != '\0',
@@ -195,10 +196,10 @@
 }
 
 static int64_t
-agent_heard_us(void *ctx, const char *machine, uint64_t start)
+agent_accepted_us(void *ctx, const char *machine, uint64_t start)
 {
     const struct agent *agent = ctx;
-    return lse_heard_us(agent->lease, machine, start);
+    return lse_accepted_us(agent->lease, machine, start);
 }
 
 static int64_t
@@ -307,7 +308,7 @@
     const struct ctr_callbacks contracts = {
         .write = agent_write_contract,
         .read = agent_read_contract,
-        .heard_us = agent_heard_us,
+        .accepted_us = agent_accepted_us,
         .voted_out_us = agent_voted_out_us,
         .is_in_cell = agent_is_in_cell,
         .ask = agent_ask,
--- a/agent/contract.c
+++ b/agent/contract.c
@@ -8,8 +8,11 @@
 #include "common/rc.h"
 
 #define CTR_READ_RETRY_US (INT64_C(500) * 1000)
-/* How often a refused holder without a lease renews its epoch. */
-#define CTR_REFUSED_WRITE_US (INT64_C(2000) * 1000)
+/*
+ * How often a refused holder without a lease renews its epoch. A successor
+ * needs the version to stand for a LEASE and a vote, which fit in between.
+ */
+#define CTR_REFUSED_WRITE_US (INT64_C(8000) * 1000)
 /* A drain for rebalancing that takes longer is given up. */
 #define CTR_DRAIN_MAX_US (INT64_C(15) * 1000 * 1000)
 
@@ -22,11 +25,15 @@
     CTR_RELEASED, /* nothing runs here; the successor is to be written */
 };
 
-struct ctr_contract {
-    char *key; /* "SERVICE:INSTANCE" */
+struct ctr_id {
     char *service;
     char *instance;
-    bool is_wanted; /* by the configuration */
+};
+
+struct ctr_contract {
+    struct ctr_id id; /* first, so that the contract is its own key */
+    char *key;        /* "SERVICE:INSTANCE" for rendezvous hashing */
+    bool is_wanted;   /* by the configuration */
     /* The object. */
     uint64_t version;
     char *machine;
@@ -55,7 +62,7 @@
     struct ctr_callbacks callbacks;
     struct cnt_set *counters;
     GPtrArray *contracts; /* in order of arrival */
-    GHashTable *by_key;
+    GHashTable *by_id;
     bool is_listed;
     size_t outstanding;
     int64_t window_us; /* start of the current second */
@@ -64,13 +71,29 @@
     size_t next; /* where the next pass begins */
 };
 
+static guint
+ctr_id_hash(const void *key)
+{
+    const struct ctr_id *id = key;
+    return g_str_hash(id->service) * 31 + g_str_hash(id->instance);
+}
+
+static gboolean
+ctr_id_equal(const void *a, const void *b)
+{
+    const struct ctr_id *left = a;
+    const struct ctr_id *right = b;
+    return strcmp(left->instance, right->instance) == 0 &&
+           strcmp(left->service, right->service) == 0;
+}
+
 static void
 ctr_contract_free(void *data)
 {
     struct ctr_contract *contract = data;
     g_free(contract->key);
-    g_free(contract->service);
-    g_free(contract->instance);
+    g_free(contract->id.service);
+    g_free(contract->id.instance);
     g_free(contract->machine);
     g_free(contract->want_machine);
     g_free(contract);
@@ -86,7 +109,7 @@
     contracts->callbacks = *callbacks;
     contracts->counters = counters;
     contracts->contracts = g_ptr_array_new_with_free_func(ctr_contract_free);
-    contracts->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+    contracts->by_id = g_hash_table_new(ctr_id_hash, ctr_id_equal);
     contracts->window_us = INT64_MIN / 2;
     contracts->rebalance_us = INT64_MIN / 2;
     return contracts;
@@ -98,7 +121,7 @@
     if (contracts == NULL) {
         return;
     }
-    g_hash_table_destroy(contracts->by_key);
+    g_hash_table_destroy(contracts->by_id);
     g_ptr_array_free(contracts->contracts, TRUE);
     g_free(contracts->machine);
     g_free(contracts);
@@ -108,11 +131,11 @@
 ctr_find(const struct ctr *contracts, const char *service,
          const char *instance)
 {
-    char *key = g_strconcat(service, ":", instance, NULL);
-    struct ctr_contract *contract =
-        g_hash_table_lookup(contracts->by_key, key);
-    g_free(key);
-    return contract;
+    const struct ctr_id id = {
+        .service = (char *)service,
+        .instance = (char *)instance,
+    };
+    return g_hash_table_lookup(contracts->by_id, &id);
 }
 
 static struct ctr_contract *
@@ -122,13 +145,13 @@
     if (contract == NULL) {
         contract = g_new0(struct ctr_contract, 1);
         contract->key = g_strconcat(service, ":", instance, NULL);
-        contract->service = g_strdup(service);
-        contract->instance = g_strdup(instance);
+        contract->id.service = g_strdup(service);
+        contract->id.instance = g_strdup(instance);
         contract->machine = g_strdup("");
         contract->want_machine = g_strdup("");
         contract->refused_write_us = INT64_MIN / 2;
         g_ptr_array_add(contracts->contracts, contract);
-        g_hash_table_insert(contracts->by_key, contract->key, contract);
+        g_hash_table_insert(contracts->by_id, contract, contract);
     }
     return contract;
 }
@@ -343,8 +366,8 @@
     }
     ctr_set_step(contract, now_us, CTR_WRITING);
     const struct msg_holder value = {
-        .service = contract->service,
-        .instance = contract->instance,
+        .service = contract->id.service,
+        .instance = contract->id.instance,
         .machine = machine,
         .start = start,
         .epoch = contract->want_epoch,
@@ -370,9 +393,10 @@
         bool is_self = strcmp(machine->name, contracts->machine) == 0;
         bool is_fit = is_self ? view->can_hold : machine->can_hold;
         if (scope != CTR_SCOPE_ALL) {
-            is_fit = is_fit && machine->is_in_cell &&
-                     (is_self || (machine->heard_us >= 0 &&
-                                  now_us - machine->heard_us <= CTR_LIVE_US));
+            is_fit =
+                is_fit && machine->is_in_cell &&
+                (is_self || (machine->accepted_us >= 0 &&
+                             now_us - machine->accepted_us <= CTR_LIVE_US));
         }
         if (scope == CTR_SCOPE_OTHER) {
             is_fit = is_fit && !is_self;
@@ -419,9 +443,9 @@
         !callbacks->is_in_cell(callbacks->ctx, contract->machine)) {
         return;
     }
-    int64_t heard_us = callbacks->heard_us(callbacks->ctx, contract->machine,
-                                           contract->start);
-    if ((heard_us >= 0 && now_us - heard_us < LSE_LEASE_US) ||
+    int64_t accepted_us = callbacks->accepted_us(
+        callbacks->ctx, contract->machine, contract->start);
+    if ((accepted_us >= 0 && now_us - accepted_us < LSE_LEASE_US) ||
         !ctr_prefers_self(contracts, contract, now_us, view, CTR_SCOPE_CELL)) {
         return;
     }
@@ -567,7 +591,8 @@
             contracts->outstanding += 1;
             ctr_set_step(contract, now_us, CTR_READING);
             contracts->callbacks.read(contracts->callbacks.ctx,
-                                      contract->service, contract->instance);
+                                      contract->id.service,
+                                      contract->id.instance);
         }
         return;
     }
@@ -665,8 +690,8 @@
             continue;
         }
         (*out)[count] = (struct msg_holder){
-            .service = contract->service,
-            .instance = contract->instance,
+            .service = contract->id.service,
+            .instance = contract->id.instance,
             .machine = contract->machine,
             .start = contract->start,
             .epoch = contract->epoch,
--- a/agent/lease.c
+++ b/agent/lease.c
@@ -17,8 +17,15 @@
     uint64_t adopted_version; /* as its last acknowledgement says */
 };
 
+/* One start of a machine: the key of the tables below. */
+struct lse_id {
+    char *machine;
+    uint64_t start;
+};
+
 /* What this machine as a voter knows of one start of a machine. */
 struct lse_record {
+    struct lse_id id;    /* first, so that the record is its own key */
     int64_t heard_us;    /* any beat, -1 for never */
     int64_t accepted_us; /* acknowledged beat, -1 for never */
     int64_t voted_us;    /* when it said "not heard", -1 if it has not */
@@ -26,8 +33,7 @@
 
 /* One question to the cell. */
 struct lse_round {
-    char *holder;
-    uint64_t start;
+    struct lse_id id; /* of the holder in question; first, as above */
     uint64_t nonce;
     int64_t asked_us;
     int64_t decided_asked_us; /* -1, or when the decided round was asked */
@@ -54,18 +60,42 @@
     int64_t until_us;
     uint64_t term;
     int64_t refused_us;
-    GHashTable *records; /* "name/start" to struct lse_record */
-    GHashTable *rounds;  /* "name/start" to struct lse_round */
+    GHashTable *records; /* set of struct lse_record */
+    GHashTable *rounds;  /* set of struct lse_round */
     uint64_t nonce;
     int64_t pruned_us;
 };
 
+static guint
+lse_id_hash(const void *key)
+{
+    const struct lse_id *id = key;
+    return g_str_hash(id->machine) ^ (guint)id->start;
+}
+
+static gboolean
+lse_id_equal(const void *a, const void *b)
+{
+    const struct lse_id *left = a;
+    const struct lse_id *right = b;
+    return left->start == right->start &&
+           strcmp(left->machine, right->machine) == 0;
+}
+
+/* For records and rounds, which both begin with their id. */
 static void
-lse_round_free(void *data)
+lse_id_free(void *data)
 {
-    struct lse_round *round = data;
-    g_free(round->holder);
-    g_free(round);
+    struct lse_id *id = data;
+    g_free(id->machine);
+    g_free(data);
+}
+
+static void *
+lse_id_find(GHashTable *table, const char *machine, uint64_t start)
+{
+    const struct lse_id id = {.machine = (char *)machine, .start = start};
+    return g_hash_table_lookup(table, &id);
 }
 
 struct lse *
@@ -87,9 +117,9 @@
     lease->former =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     lease->records =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(lse_id_hash, lse_id_equal, NULL, lse_id_free);
     lease->rounds =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, lse_round_free);
+        g_hash_table_new_full(lse_id_hash, lse_id_equal, NULL, lse_id_free);
     return lease;
 }
 
@@ -128,19 +158,10 @@
     cnt_add(lease->counters, "lease_refused_total", reason);
 }
 
-static char *
-lse_key(const char *machine, uint64_t start)
-{
-    return g_strdup_printf("%s/%016" PRIx64, machine, start);
-}
-
 static struct lse_record *
 lse_record_find(const struct lse *lease, const char *machine, uint64_t start)
 {
-    char *key = lse_key(machine, start);
-    struct lse_record *record = g_hash_table_lookup(lease->records, key);
-    g_free(key);
-    return record;
+    return lse_id_find(lease->records, machine, start);
 }
 
 static struct lse_record *
@@ -150,11 +171,12 @@
     if (record == NULL) {
         record = g_new(struct lse_record, 1);
         *record = (struct lse_record){
+            .id = {.machine = g_strdup(machine), .start = start},
             .heard_us = -1,
             .accepted_us = -1,
             .voted_us = -1,
         };
-        g_hash_table_insert(lease->records, lse_key(machine, start), record);
+        g_hash_table_insert(lease->records, record, record);
     }
     return record;
 }
@@ -485,8 +507,8 @@
     memset(round->votes, 0, sizeof(round->votes));
     const struct msg_ask ask = {
         .asker = lease->machine,
-        .holder = round->holder,
-        .holder_start = round->start,
+        .holder = round->id.machine,
+        .holder_start = round->id.start,
         .cell_version = lease->cell_version,
         .nonce = round->nonce,
     };
@@ -504,17 +526,15 @@
     if (lease->cell_version == 0) {
         return;
     }
-    char *key = lse_key(holder, start);
-    struct lse_round *round = g_hash_table_lookup(lease->rounds, key);
+    struct lse_round *round = lse_id_find(lease->rounds, holder, start);
     if (round == NULL) {
         round = g_new0(struct lse_round, 1);
-        round->holder = g_strdup(holder);
-        round->start = start;
+        round->id =
+            (struct lse_id){.machine = g_strdup(holder), .start = start};
         round->asked_us = now_us - LSE_ROUND_US;
         round->decided_asked_us = -1;
-        g_hash_table_insert(lease->rounds, g_strdup(key), round);
+        g_hash_table_insert(lease->rounds, round, round);
     }
-    g_free(key);
     if (now_us - round->asked_us >= LSE_ROUND_US) {
         lse_round_start(lease, now_us, round);
     }
@@ -523,9 +543,8 @@
 void
 lse_on_vote(struct lse *lease, int64_t now_us, const struct msg_vote *vote)
 {
-    char *key = lse_key(vote->holder, vote->holder_start);
-    struct lse_round *round = g_hash_table_lookup(lease->rounds, key);
-    g_free(key);
+    struct lse_round *round =
+        lse_id_find(lease->rounds, vote->holder, vote->holder_start);
     const struct lse_member_state *member =
         lse_member_find(lease, vote->voter);
     if (round == NULL || member == NULL || round->nonce != vote->nonce ||
@@ -546,9 +565,7 @@
 int64_t
 lse_voted_out_us(const struct lse *lease, const char *holder, uint64_t start)
 {
-    char *key = lse_key(holder, start);
-    const struct lse_round *round = g_hash_table_lookup(lease->rounds, key);
-    g_free(key);
+    const struct lse_round *round = lse_id_find(lease->rounds, holder, start);
     return round != NULL ? round->decided_asked_us : -1;
 }
 
@@ -574,7 +591,8 @@
 lse_is_refused(const struct lse *lease, int64_t now_us)
 {
     return lease->refused_us >= 0 &&
-           now_us - lease->refused_us < LSE_REFUSED_US;
+           now_us - lease->refused_us < LSE_REFUSED_US &&
+           lse_member_find(lease, lease->machine) != NULL;
 }
 
 int64_t
@@ -584,6 +602,13 @@
     return record != NULL ? record->heard_us : -1;
 }
 
+int64_t
+lse_accepted_us(const struct lse *lease, const char *machine, uint64_t start)
+{
+    const struct lse_record *record = lse_record_find(lease, machine, start);
+    return record != NULL ? record->accepted_us : -1;
+}
+
 bool
 lse_is_member(const struct lse *lease, const char *machine)
 {
--- a/include/agent/contract.h
+++ b/include/agent/contract.h
@@ -19,7 +19,7 @@
 #define CTR_WRITES_MAX 50
 #define CTR_REBALANCE_US (INT64_C(500) * 1000)
 #define CTR_STABLE_US (INT64_C(5) * 1000 * 1000)
-/* A handover goes only to a machine whose last beat is at most this old. */
+/* A handover goes only to a machine whose last accepted beat is so recent. */
 #define CTR_LIVE_US (INT64_C(1000) * 1000)
 /* Contracts that drain at the same time on a planned stop. */
 #define CTR_DRAINS_MAX 4
@@ -36,7 +36,7 @@
 struct ctr_machine {
     const char *name;
     uint64_t start;
-    int64_t heard_us; /* last beat, for machines of the cell */
+    int64_t accepted_us; /* last accepted beat, for machines of the cell */
     bool is_in_cell;
     bool can_hold; /* live, not leaving, with a relay */
 };
@@ -60,8 +60,8 @@
     void (*write)(void *ctx, uint64_t version, const struct msg_holder *value);
     /* Reads the object; answered by ctr_on_read(). */
     void (*read)(void *ctx, const char *service, const char *instance);
-    /* Whether the cell still hears a holder: lse_heard_us() and so on. */
-    int64_t (*heard_us)(void *ctx, const char *machine, uint64_t start);
+    /* Whether the cell still hears a holder: lse_accepted_us() and so on. */
+    int64_t (*accepted_us)(void *ctx, const char *machine, uint64_t start);
     int64_t (*voted_out_us)(void *ctx, const char *machine, uint64_t start);
     bool (*is_in_cell)(void *ctx, const char *machine);
     void (*ask)(void *ctx, const char *machine, uint64_t start);
--- a/include/agent/lease.h
+++ b/include/agent/lease.h
@@ -103,13 +103,20 @@
  */
 uint64_t lse_term(const struct lse *lease);
 
-/* True when a voter that gave its vote against this start refuses beats. */
+/* True when this is a member whose beats some voter refuses. */
 bool lse_is_refused(const struct lse *lease, int64_t now_us);
 
 /* When the last beat of (machine, start) arrived, -1 for never. */
 int64_t lse_heard_us(const struct lse *lease, const char *machine,
                      uint64_t start);
 
+/*
+ * When the last beat was acknowledged as accepted, -1 for never. A machine
+ * that is heard but refused cannot gain a lease.
+ */
+int64_t lse_accepted_us(const struct lse *lease, const char *machine,
+                        uint64_t start);
+
 bool lse_is_member(const struct lse *lease, const char *machine);
 
 /* True for present members and for those of earlier versions. */
