Add carobhatchctl

Cause: operators need to check, compare, apply and follow configurations, take zones out, watch and reset cells. Change: one file per command and a handler table; HTTP calls of a step run side by side in one loop (ctl/call). A watch that ended between two calls once reported a machine as silent in a test run, because the loop's clock counts whole ms; the end of the watch is now told apart with a margin of 5 ms.

--- /dev/null
+++ b/ctl/commands/check.c
@@ -0,0 +1,58 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/commands.h"
+#include "ctl/source.h"
+
+static size_t
+check_count_instances(const json_t *services)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < json_array_size(services); i++) {
+        count += json_array_size(
+            json_object_get(json_array_get(services, i), "instances"));
+    }
+    return count;
+}
+
+static void
+check_report(struct ctl *ctl, const struct fil_document *document)
+{
+    const json_t *services = json_object_get(document->root, "services");
+    char *text = fil_encode(document->root);
+    ctl_print(
+        ctl,
+        "valid: cluster %s, %zu zones, %zu services, %zu instances, %zu bytes",
+        json_string_value(json_object_get(document->root, "cluster")),
+        json_array_size(json_object_get(document->root, "zones")),
+        json_array_size(services), check_count_instances(services),
+        strlen(text));
+    json_object_set_new(ctl->result, "bytes",
+                        json_integer((json_int_t)strlen(text)));
+    json_object_set(ctl->result, "document", document->root);
+    free(text);
+}
+
+/* With --store also checks the change against the stored revision. */
+enum ctl_exit
+cmd_check(struct ctl *ctl, int argc, char **argv)
+{
+    struct fil_document document = {.root = NULL};
+    enum ctl_exit code = src_load(ctl, &document);
+    if (code != CTL_DONE) {
+        return code;
+    }
+    if (ctl->options.store != NULL) {
+        struct obj current;
+        code = src_read(ctl, &current);
+        if (code == CTL_DONE) {
+            code = src_check_moves(ctl, &current, &document);
+        }
+        obj_clear(&current);
+    }
+    if (code == CTL_DONE) {
+        check_report(ctl, &document);
+    }
+    fil_clear(&document);
+    return code;
+}
--- /dev/null
+++ b/ctl/commands/diff.c
@@ -0,0 +1,30 @@
+#include <inttypes.h>
+
+#include "ctl/commands.h"
+#include "ctl/diff.h"
+#include "ctl/publish.h"
+#include "ctl/source.h"
+
+enum ctl_exit
+cmd_diff(struct ctl *ctl, int argc, char **argv)
+{
+    struct fil_document document = {.root = NULL};
+    enum ctl_exit code = src_load(ctl, &document);
+    if (code != CTL_DONE) {
+        return code;
+    }
+    struct obj current;
+    code = src_read(ctl, &current);
+    if (code == CTL_DONE) {
+        GPtrArray *changes = dif_compare(current.value, document.root);
+        ctl_print(ctl, "changes against revision %" PRId64 ": %u",
+                  obj_number(&current), changes->len);
+        pub_show(ctl, changes);
+        json_object_set_new(ctl->result, "revision",
+                            json_integer(obj_number(&current)));
+        g_ptr_array_free(changes, TRUE);
+    }
+    obj_clear(&current);
+    fil_clear(&document);
+    return code;
+}
--- /dev/null
+++ b/ctl/commands/watch.c
@@ -0,0 +1,184 @@
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ctl/agents.h"
+#include "ctl/call.h"
+#include "ctl/commands.h"
+
+#define WATCH_POLL_MS 500
+/* The loop's clock counts whole ms, so a call may end before the deadline. */
+#define WATCH_MARGIN_MS 5
+
+struct watch {
+    struct ctl *ctl;
+    int64_t after;    /* version of the kind, as the store counts it */
+    int64_t revision; /* printed last */
+    bool is_store_up;
+    char **states; /* printed last, one per agent */
+};
+
+/* Nothing is in progress that an interrupt could leave half done. */
+static void
+watch_on_interrupt(int signal)
+{
+    _exit(CTL_DONE);
+}
+
+/* Whether a call without an answer may have been cut by --timeout-ms. */
+static bool
+watch_is_over(const struct watch *watch)
+{
+    return ctl_left_ms(watch->ctl, WATCH_MARGIN_MS) < WATCH_MARGIN_MS;
+}
+
+static void
+watch_print(const struct watch *watch, json_t *event, const char *text)
+{
+    ctl_print(watch->ctl, "%s", text);
+    if (watch->ctl->options.is_json) {
+        char *line = json_dumps(event, JSON_COMPACT);
+        (void)puts(line);
+        (void)fflush(stdout);
+        free(line);
+    }
+    json_decref(event);
+}
+
+static void
+watch_note_store(struct watch *watch, bool is_up)
+{
+    if (watch->is_store_up == is_up) {
+        return;
+    }
+    watch->is_store_up = is_up;
+    watch_print(watch, json_pack("{s:b}", "store_answers", is_up),
+                is_up ? "store answers" : "store does not answer");
+}
+
+static void
+watch_note_list(struct watch *watch, const json_t *reply)
+{
+    const json_t *items = json_object_get(reply, "items");
+    watch->after = json_integer_value(json_object_get(reply, "version"));
+    for (size_t i = 0; i < json_array_size(items); i++) {
+        const json_t *item = json_array_get(items, i);
+        const char *name = json_string_value(json_object_get(item, "name"));
+        int64_t revision = json_integer_value(
+            json_object_get(json_object_get(item, "value"), "revision"));
+        if (name == NULL || strcmp(name, "current") != 0 ||
+            revision == watch->revision) {
+            continue;
+        }
+        watch->revision = revision;
+        char *text = g_strdup_printf("store revision=%" PRId64, revision);
+        watch_print(watch,
+                    json_pack("{s:I}", "store_revision", (json_int_t)revision),
+                    text);
+        g_free(text);
+    }
+}
+
+static void
+watch_poll_store(struct watch *watch)
+{
+    char *path = g_strdup_printf("/v1/config?after=%" PRId64 "&wait_ms=%d",
+                                 watch->after, WATCH_POLL_MS);
+    struct cll call = {
+        .address = watch->ctl->options.store, .method = "GET", .path = path};
+    cll_run(&call, 1, ctl_left_ms(watch->ctl, WATCH_POLL_MS + 2500));
+    bool is_up = cll_is_status(&call, 200);
+    if (is_up) {
+        watch_note_list(watch, call.reply);
+    }
+    if (is_up || !watch_is_over(watch)) {
+        watch_note_store(watch, is_up);
+    }
+    cll_clear(&call, 1);
+    g_free(path);
+    if (!is_up) {
+        ctl_pause(watch->ctl, WATCH_POLL_MS);
+    }
+}
+
+static char *
+watch_state(const struct agt *agent)
+{
+    if (agent->status == NULL) {
+        return g_strdup("no answer");
+    }
+    char *state = agt_text(agent, "state");
+    char *start = agt_text(agent, "start");
+    char *text = g_strdup_printf("state=%s revision=%" PRId64 " start=%s",
+                                 state, agent->revision, start);
+    g_free(state);
+    g_free(start);
+    return text;
+}
+
+static void
+watch_note_agent(struct watch *watch, guint i, const struct agt *agent)
+{
+    char *state = watch_state(agent);
+    if (g_strcmp0(watch->states[i], state) == 0) {
+        g_free(state);
+        return;
+    }
+    g_free(watch->states[i]);
+    watch->states[i] = state;
+    char *text = g_strdup_printf("%s %s", agt_name(agent), state);
+    json_t *event = json_pack("{s:s, s:b}", "agent", agent->address,
+                              "answered", agent->status != NULL);
+    if (agent->status != NULL) {
+        json_object_set(event, "status", agent->status);
+    }
+    watch_print(watch, event, text);
+    g_free(text);
+}
+
+static void
+watch_poll_agents(struct watch *watch)
+{
+    struct agt *agents = agt_new(watch->ctl);
+    agt_read(watch->ctl, agents, INT64_MAX, 1000);
+    for (guint i = 0; i < watch->ctl->agent_count; i++) {
+        if (agents[i].status != NULL || !watch_is_over(watch)) {
+            watch_note_agent(watch, i, &agents[i]);
+        }
+    }
+    agt_free(watch->ctl, agents);
+}
+
+enum ctl_exit
+cmd_watch(struct ctl *ctl, int argc, char **argv)
+{
+    struct sigaction action = {.sa_handler = watch_on_interrupt};
+    (void)sigaction(SIGINT, &action, NULL);
+    (void)sigaction(SIGTERM, &action, NULL);
+    if (ctl->options.timeout_ms == 0) {
+        ctl->deadline_us = INT64_MAX / 2;
+    }
+    struct watch watch = {
+        .ctl = ctl,
+        .after = -1,
+        .revision = -1,
+        .is_store_up = true,
+        .states = g_new0(char *, ctl->agent_count + 1),
+    };
+    while (ctl_left_ms(ctl, 1) > 0) {
+        watch_poll_agents(&watch);
+        if (ctl->options.store != NULL) {
+            watch_poll_store(&watch);
+        }
+        else {
+            ctl_pause(ctl, WATCH_POLL_MS);
+        }
+    }
+    for (guint i = 0; i < ctl->agent_count; i++) {
+        g_free(watch.states[i]);
+    }
+    g_free(watch.states);
+    return CTL_DONE;
+}
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,118 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/net.h"
+#include "common/rc.h"
+#include "ctl/commands.h"
+
+#define DEFAULT_TIMEOUT_MS 10000
+
+static char *
+main_summary(void)
+{
+    GString *text = g_string_new("Commands:");
+    for (size_t i = 0; i < cmd_count; i++) {
+        const struct cmd *cmd = &cmd_table[i];
+        char *usage = g_strdup_printf("%s %s", cmd->name, cmd->arguments);
+        g_string_append_printf(text, "\n  %-18s %s", usage, cmd->help);
+        g_free(usage);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static const struct cmd *
+main_find(const char *name)
+{
+    for (size_t i = 0; name != NULL && i < cmd_count; i++) {
+        if (strcmp(cmd_table[i].name, name) == 0) {
+            return &cmd_table[i];
+        }
+    }
+    return NULL;
+}
+
+static const char *
+main_missing(const struct ctl *ctl, const struct cmd *cmd)
+{
+    if ((cmd->needs & CMD_NEED_BASE) != 0 && ctl->options.base == NULL) {
+        return "--base";
+    }
+    if ((cmd->needs & CMD_NEED_STORE) != 0 && ctl->options.store == NULL) {
+        return "--store";
+    }
+    if ((cmd->needs & CMD_NEED_AGENTS) != 0 && ctl->agent_count == 0) {
+        return "--agents";
+    }
+    return NULL;
+}
+
+static enum ctl_exit
+main_check_agents(struct ctl *ctl)
+{
+    for (guint i = 0; i < ctl->agent_count; i++) {
+        struct sockaddr_in address;
+        if (net_parse(ctl->agents[i], &address) != RC_OK) {
+            return ctl_fail(ctl, CTL_USAGE, RC_USAGE,
+                            "--agents: '%s' is not IPV4:PORT", ctl->agents[i]);
+        }
+    }
+    return CTL_DONE;
+}
+
+static enum ctl_exit
+main_run(struct ctl *ctl, int argc, char **argv)
+{
+    const struct cmd *cmd = main_find(argc > 0 ? argv[0] : NULL);
+    if (cmd == NULL) {
+        return ctl_fail(ctl, CTL_USAGE, RC_USAGE,
+                        "'%s' is not a command; see --help",
+                        argc > 0 ? argv[0] : "");
+    }
+    if (argc - 1 != cmd->argument_count) {
+        return ctl_fail(ctl, CTL_USAGE, RC_USAGE, "%s takes %d arguments: %s",
+                        cmd->name, cmd->argument_count, cmd->arguments);
+    }
+    const char *missing = main_missing(ctl, cmd);
+    if (missing != NULL) {
+        return ctl_fail(ctl, CTL_USAGE, RC_USAGE, "%s needs %s", cmd->name,
+                        missing);
+    }
+    enum ctl_exit code = main_check_agents(ctl);
+    return code == CTL_DONE ? cmd->run(ctl, argc, argv) : code;
+}
+
+static void
+main_print_result(const struct ctl *ctl)
+{
+    /* watch prints its own lines and leaves the result empty. */
+    if (ctl->options.is_json && json_object_size(ctl->result) > 0) {
+        char *text = json_dumps(ctl->result, JSON_COMPACT | JSON_SORT_KEYS);
+        (void)puts(text);
+        free(text);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct ctl ctl = {.result = json_object()};
+    char *summary = main_summary();
+    enum ctl_exit code = CTL_USAGE;
+    if (ctl_options_parse(&ctl.options, &argc, &argv, summary) == RC_OK) {
+        const char *agents = ctl.options.agents;
+        ctl.agents = g_strsplit(agents != NULL ? agents : "", ",", -1);
+        ctl.agent_count = g_strv_length(ctl.agents);
+        int64_t timeout_ms = ctl.options.timeout_ms > 0
+                                 ? ctl.options.timeout_ms
+                                 : DEFAULT_TIMEOUT_MS;
+        ctl.deadline_us = ctl_now_us() + timeout_ms * 1000;
+        code = main_run(&ctl, argc - 1, argv + 1);
+        main_print_result(&ctl);
+        g_strfreev(ctl.agents);
+    }
+    ctl_options_clear(&ctl.options);
+    json_decref(ctl.result);
+    g_free(summary);
+    return (int)code;
+}
--- /dev/null
+++ b/ctl/table.c
@@ -0,0 +1,19 @@
+#include "ctl/commands.h"
+
+const struct cmd cmd_table[] = {
+    {"check", "", "check the files; with --store also the change", cmd_check,
+     CMD_NEED_BASE, 0},
+    {"diff", "", "what apply would change", cmd_diff,
+     CMD_NEED_BASE | CMD_NEED_STORE, 0},
+    {"apply", "", "put the files in force", cmd_apply,
+     CMD_NEED_BASE | CMD_NEED_STORE, 0},
+    {"status", "", "revision and state of the machines", cmd_status,
+     CMD_NEED_AGENTS, 0},
+    {"zone", "out|in NAME", "take a zone out of service or back", cmd_zone,
+     CMD_NEED_STORE, 2},
+    {"watch", "", "print new revisions and states of machines", cmd_watch,
+     CMD_NEED_AGENTS, 0},
+    {"cell", "reset NAME", "replace a cell whose majority is lost for good",
+     cmd_cell, CMD_NEED_STORE | CMD_NEED_AGENTS, 2},
+};
+const size_t cmd_count = G_N_ELEMENTS(cmd_table);
--- /dev/null
+++ b/include/ctl/call.h
@@ -0,0 +1,39 @@
+#ifndef CH_CTL_CALL_H
+#define CH_CTL_CALL_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* One HTTP call; zero-initialise the rest. */
+struct cll {
+    const char *address; /* IPV4:PORT */
+    const char *method;
+    const char *path;
+    const char *body; /* NULL for none */
+
+    /*
+     * RC_OK with a status and a reply; RC_LINK_FAILED when no byte was sent;
+     * another code when the server may have run the call.
+     */
+    int rc;
+    int status;
+    json_t *reply; /* NULL unless the body is JSON */
+
+    struct cll_batch *batch; /* private, as is the rest */
+    struct hcl_conn *conn;
+    bool is_sent;
+    bool is_done;
+};
+
+/* Runs calls side by side; returns when all have ended or timed out. */
+void cll_run(struct cll *calls, size_t count, int64_t timeout_ms);
+
+/* Frees what cll_run() left in the calls. */
+void cll_clear(struct cll *calls, size_t count);
+
+/* Whether the call ended with this HTTP status and a JSON reply. */
+bool cll_is_status(const struct cll *call, int status);
+
+#endif
--- /dev/null
+++ b/include/ctl/diff.h
@@ -0,0 +1,38 @@
+#ifndef CH_CTL_DIFF_H
+#define CH_CTL_DIFF_H
+
+#include <glib.h>
+#include <jansson.h>
+
+struct dif_change {
+    char *path; /* items by name: zones[widzew].state */
+    char *from; /* JSON text, NULL for an added value */
+    char *to;   /* JSON text, NULL for a removed value */
+};
+
+/*
+ * Values that differ between two documents, in order of their paths; free
+ * with g_ptr_array_free. Missing optional fields count with their defaults,
+ * `revision` does not count. `from` may be NULL.
+ */
+GPtrArray *dif_compare(const json_t *from, const json_t *to);
+
+/* "+ path: value", "- path: value" or "~ path: from -> to"; g_free. */
+char *dif_line(const struct dif_change *change);
+
+json_t *dif_to_json(const GPtrArray *changes);
+
+/* A searcher address that would move from one instance to another. */
+struct dif_move {
+    char *path; /* of the address in the new document, items by index */
+    char *address;
+    char *from; /* SERVICE.INSTANCE */
+    char *to;
+};
+
+/* Finds the first such address; false if there is none. */
+bool dif_find_move(const json_t *from, const json_t *to, struct dif_move *out);
+
+void dif_move_clear(struct dif_move *move);
+
+#endif
--- /dev/null
+++ b/tests/ctl/fake.c
@@ -0,0 +1,210 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/http_server.h"
+#include "common/rc.h"
+#include "fake.h"
+
+#define FAKE_BODY_BYTES (2 * 1024 * 1024)
+
+static void
+fake_answer(struct hsv_request *request, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+    hsv_respond(request, status, "application/json", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static void
+fake_on_gone(struct hsv_request *request, void *ctx)
+{
+    hsv_respond(request, 503, "text/plain", "", 0);
+}
+
+static void
+fake_never(struct hsv_request *request)
+{
+    request->on_gone = fake_on_gone;
+}
+
+static json_t *
+fake_object(const struct fake *fake)
+{
+    return json_pack("{s:s, s:s, s:I, s:O?}", "kind", "k", "name", "n",
+                     "version", fake->version, "value", fake->value);
+}
+
+static void
+fake_set(struct fake *fake, json_t *value)
+{
+    json_decref(fake->value);
+    fake->value = value;
+    fake->version += 1;
+}
+
+/* Another operator renames the cluster. */
+static void
+fake_interfere(struct fake *fake)
+{
+    json_t *other = json_deep_copy(fake->value);
+    json_int_t revision =
+        json_integer_value(json_object_get(other, "revision"));
+    json_object_set_new(other, "revision", json_integer(revision + 1));
+    json_object_set_new(other, "cluster", json_string("other"));
+    fake_set(fake, other);
+}
+
+static void
+fake_put(struct fake *fake, struct hsv_request *request)
+{
+    enum fake_fault fault = fake->fault;
+    fake->fault = FAKE_NONE;
+    fake->puts += 1;
+    if (fault == FAKE_DROP) {
+        fake_never(request);
+        return;
+    }
+    if (fault == FAKE_FAIL) {
+        fake_answer(request, 503, json_object());
+        return;
+    }
+    if (fault == FAKE_RACE) {
+        fake_interfere(fake);
+    }
+    json_t *body = json_loadb(request->body, request->body_bytes, 0, NULL);
+    json_int_t version = json_integer_value(json_object_get(body, "version"));
+    bool is_current = version == (fake->value != NULL ? fake->version : 0);
+    if (is_current) {
+        fake_set(fake, json_incref(json_object_get(body, "value")));
+    }
+    json_decref(body);
+    if (fault == FAKE_STEAL) {
+        fake_interfere(fake);
+    }
+    if (fault == FAKE_LOSE || fault == FAKE_STEAL) {
+        fake_never(request);
+        return;
+    }
+    fake_answer(request, is_current ? 200 : 409, fake_object(fake));
+}
+
+static void
+fake_on_store(struct hsv_request *request, void *ctx)
+{
+    struct fake *fake = ctx;
+    if (strcmp(request->path, "/v1/config") == 0) {
+        fake_answer(request, 200,
+                    json_pack("{s:I, s:[{s:s, s:O}]}", "version",
+                              fake->version, "items", "name", "current",
+                              "value", fake->value));
+    }
+    else if (strcmp(request->path, fake->path) != 0) {
+        fake_answer(request, 404, json_object());
+    }
+    else if (strcmp(request->method, "PUT") == 0) {
+        fake_put(fake, request);
+    }
+    else if (fake->value == NULL) {
+        fake_answer(request, 404, json_object());
+    }
+    else {
+        fake_answer(request, 200, fake_object(fake));
+    }
+}
+
+static struct fake *
+fake_of(struct fake_agent *agent)
+{
+    struct fake_agent *first = agent - agent->number;
+    return (struct fake *)((char *)first - offsetof(struct fake, agents));
+}
+
+static void
+fake_on_post(struct fake_agent *agent, struct hsv_request *request)
+{
+    json_t *body = json_loadb(request->body, request->body_bytes, 0, NULL);
+    if (strcmp(request->path, "/config") == 0 && agent->mode == FAKE_ADOPT) {
+        agent->revision =
+            json_integer_value(json_object_get(body, "revision"));
+    }
+    json_decref(body);
+    g_string_append_printf(fake_of(agent)->posts, "m%d %s %.*s\n",
+                           agent->number, request->path,
+                           (int)request->body_bytes, request->body);
+    fake_answer(request, 200, json_pack("{s:I}", "revision", agent->revision));
+}
+
+static void
+fake_on_agent(struct hsv_request *request, void *ctx)
+{
+    struct fake_agent *agent = ctx;
+    if (strcmp(request->method, "POST") == 0) {
+        fake_on_post(agent, request);
+        return;
+    }
+    char name[] = {'m', (char)('0' + agent->number), '\0'};
+    fake_answer(request, 200,
+                json_pack("{s:s, s:i, s:s, s:I, s:s, s:s, s:i, s:[s]}",
+                          "machine", name, "start", 7, "zone", "a", "revision",
+                          agent->revision, "digest", "00", "state", "live",
+                          "lease_ms_left", 900, "held", "d.d0"));
+}
+
+/* A port that was free a moment ago. */
+static char *
+fake_address(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size), 0);
+    close(fd);
+    return g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+}
+
+void
+fake_open(struct fake *fake, uv_loop_t *loop)
+{
+    *fake = (struct fake){
+        .loop = loop,
+        .address = fake_address(),
+        .path = g_strdup("/v1/config/current"),
+        .posts = g_string_new(NULL),
+    };
+    assert_int_equal(hsv_open(loop, fake->address, FAKE_BODY_BYTES,
+                              fake_on_store, fake, &fake->server),
+                     RC_OK);
+    for (int i = 0; i < FAKE_AGENTS; i++) {
+        struct fake_agent *agent = &fake->agents[i];
+        agent->number = i;
+        agent->address = fake_address();
+        assert_int_equal(hsv_open(loop, agent->address, FAKE_BODY_BYTES,
+                                  fake_on_agent, agent, &agent->server),
+                         RC_OK);
+    }
+}
+
+void
+fake_close(struct fake *fake)
+{
+    hsv_stop(fake->server);
+    for (int i = 0; i < FAKE_AGENTS; i++) {
+        hsv_stop(fake->agents[i].server);
+        g_free(fake->agents[i].address);
+    }
+    g_free(fake->address);
+    g_free(fake->path);
+    g_string_free(fake->posts, TRUE);
+    json_decref(fake->value);
+}
--- /dev/null
+++ b/tests/ctl/fake.h
@@ -0,0 +1,51 @@
+#ifndef CH_TESTS_CTL_FAKE_H
+#define CH_TESTS_CTL_FAKE_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+/* A store with one object, and agents, whose answers a script decides. */
+
+#define FAKE_AGENTS 2
+
+enum fake_fault {
+    FAKE_NONE,
+    FAKE_LOSE,  /* the next write takes effect and is not answered */
+    FAKE_DROP,  /* the next write has no effect and is not answered */
+    FAKE_RACE,  /* another operator writes just before the next write */
+    FAKE_STEAL, /* as FAKE_LOSE, and another operator writes right after */
+    FAKE_FAIL,  /* the next write gets 503 without effect */
+};
+
+enum fake_agent_mode {
+    FAKE_ADOPT,
+    FAKE_REFUSE, /* keeps its revision */
+};
+
+struct fake_agent {
+    struct hsv_server *server;
+    char *address;
+    int number;
+    enum fake_agent_mode mode;
+    json_int_t revision;
+};
+
+struct fake {
+    uv_loop_t *loop;
+    struct hsv_server *server;
+    char *address;
+    char *path; /* of the object, /v1/config/current */
+    json_int_t version;
+    json_t *value;
+    enum fake_fault fault;
+    int puts;       /* writes that arrived */
+    GString *posts; /* bodies that agents got */
+    struct fake_agent agents[FAKE_AGENTS];
+};
+
+void fake_open(struct fake *fake, uv_loop_t *loop);
+
+void fake_close(struct fake *fake);
+
+#endif
