Add carobhatch-load, the open-loop load tool that checks every answer

Cause: latency, coverage and wrong answers must be measured from the caller's side, with latency counted from the intended send time.

Change: arrival schedule, mix of services, searches, keys and orders; callers that follow GET /v1/entries with its time to live, each under its own name; kept connections per entry; a checker that computes the stand-ins' whole answer; results as a table and JSON, a CSV row for each 100 ms, and a log of orders that can be compared with the stand-ins' count of runs.

--- /dev/null
+++ b/include/load/arrival.h
@@ -0,0 +1,32 @@
+#ifndef CH_LOAD_ARRIVAL_H
+#define CH_LOAD_ARRIVAL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Open-loop schedule: the times at which requests are meant to be sent, which
+ * do not depend on the answers. A closed loop would send less while the system
+ * is slow and hide its worst latencies.
+ */
+struct arr {
+    int64_t start_us;
+    int64_t end_us;
+    double gap_us; /* mean time between two arrivals */
+    bool is_poisson;
+    uint64_t random;
+    double next_us; /* offset from the start */
+    uint64_t count; /* arrivals taken */
+};
+
+/* Schedules `rate` arrivals per second for `seconds`. */
+void arr_init(struct arr *arrivals, int64_t rate, int64_t seconds,
+              bool is_poisson, uint64_t seed, int64_t start_us);
+
+/* Time of the next arrival, or -1 when the schedule has ended. */
+int64_t arr_peek_us(const struct arr *arrivals);
+
+/* Takes the next arrival if it is due. Returns its time or -1. */
+int64_t arr_take_us(struct arr *arrivals, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/load/caller.h
@@ -0,0 +1,49 @@
+#ifndef CH_LOAD_CALLER_H
+#define CH_LOAD_CALLER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "load/check.h"
+#include "load/entries.h"
+#include "load/mix.h"
+#include "load/pool.h"
+#include "load/report.h"
+#include "standin/timer.h"
+
+/* The callers: they send searches and orders as a client program would. */
+
+struct cal_settings {
+    const char *zone; /* NULL: none */
+    const char *name_prefix;
+    uint32_t count;
+    int64_t deadline_ms;
+    int64_t limit;
+    uint64_t seed;
+};
+
+/* Called when a request has ended for good. */
+typedef void (*cal_ended_cb)(const struct rep_outcome *outcome, void *ctx);
+
+struct cal {
+    struct cal_settings settings;
+    struct pol *pool;
+    struct tmr_set *timers;
+    struct chk checker;
+    struct rep *report;
+    FILE *order_log;     /* NULL: none */
+    struct ent *entries; /* one for each caller */
+    uint64_t outstanding;
+    cal_ended_cb ended;
+    void *ctx;
+};
+
+/* Sends one request that was meant to be sent at `intended_us`. */
+void cal_send(struct cal *callers, const struct mix_item *item,
+              int64_t intended_us);
+
+/* Asks for entry addresses where a time to live has passed. */
+void cal_refresh(struct cal *callers);
+
+#endif
--- /dev/null
+++ b/include/load/report.h
@@ -0,0 +1,70 @@
+#ifndef CH_LOAD_REPORT_H
+#define CH_LOAD_REPORT_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "common/counter.h"
+#include "common/hist.h"
+#include "load/check.h"
+
+/* Totals of a run. */
+
+enum rep_end {
+    REP_ANSWERED, /* status 200 */
+    REP_REFUSED,  /* a result code */
+    REP_ERROR,    /* no answer */
+};
+
+/* How one request ended. */
+struct rep_outcome {
+    enum rep_end end;
+    bool is_order;
+    enum chk_kind wrong;
+    int rc;            /* of a refusal */
+    const char *error; /* name of an error */
+    double coverage;
+    bool is_complete;
+    int64_t latency_us; /* from the intended send time */
+    int64_t deadline_us;
+};
+
+struct rep {
+    uint64_t sent;
+    uint64_t orders_sent;
+    uint64_t ok; /* answered and right, also in part */
+    uint64_t orders_ok;
+    uint64_t partial;
+    uint64_t full;
+    uint64_t refused;
+    uint64_t errors;
+    uint64_t wrong;
+    uint64_t in_time; /* ok within the deadline */
+    uint64_t retries; /* searches sent once more after a lost connection */
+    uint64_t orders_repeated;
+    double coverage_sum;
+    struct hst latency;       /* searches answered */
+    struct hst order_latency; /* orders answered */
+    struct hst send_lag;      /* from the intended to the actual send time */
+    GHashTable *refused_by_code;
+    GHashTable *errors_by_name;
+    GHashTable *wrong_by_kind;
+};
+
+void rep_init(struct rep *report);
+
+void rep_clear(struct rep *report);
+
+void rep_add(struct rep *report, const struct rep_outcome *outcome);
+
+/* Mean coverage of right answers to searches; 0 if there are none. */
+double rep_coverage_mean(const struct rep *report);
+
+/* The totals of a run of `seconds`; release with json_decref. */
+json_t *rep_json(const struct rep *report, double seconds);
+
+void rep_print(const struct rep *report, double seconds, FILE *out);
+
+#endif
--- /dev/null
+++ b/load/load.c
@@ -0,0 +1,261 @@
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "common/rc.h"
+#include "load/arrival.h"
+#include "load/caller.h"
+#include "load/load.h"
+#include "load/progress.h"
+#include "load/timeline.h"
+
+#define LOAD_REFRESH_MS 50
+#define LOAD_PROGRESS_MS 1000
+
+struct load {
+    const struct load_options *options;
+    uv_loop_t *loop;
+    struct tmr_set *timers;
+    struct tmr arrival_timer;
+    uv_timer_t refresh_timer;
+    uv_timer_t progress_timer;
+    uv_signal_t interrupt;
+    struct arr arrivals;
+    struct mix mix;
+    struct cal callers;
+    struct rep report;
+    struct tml timeline;
+    struct prg progress;
+    int64_t started_unix_ms;
+};
+
+static void
+load_stop_if_done(struct load *load)
+{
+    if (load->callers.outstanding == 0 && arr_peek_us(&load->arrivals) < 0) {
+        uv_stop(load->loop);
+    }
+}
+
+static void
+load_on_ended(const struct rep_outcome *outcome, void *ctx)
+{
+    struct load *load = ctx;
+    rep_add(&load->report, outcome);
+    tml_ended(&load->timeline, outcome, tmr_now_us());
+    prg_ended(&load->progress, outcome);
+    load_stop_if_done(load);
+}
+
+static void
+load_on_arrival(struct tmr *timer, void *ctx)
+{
+    struct load *load = ctx;
+    int64_t intended_us;
+    int64_t now_us = tmr_now_us();
+    while ((intended_us = arr_take_us(&load->arrivals, now_us)) >= 0) {
+        struct mix_item item = mix_draw(&load->mix);
+        load->report.sent += 1;
+        load->report.orders_sent += item.is_order;
+        hst_add(&load->report.send_lag, tmr_now_us() - intended_us);
+        tml_sent(&load->timeline, now_us);
+        cal_send(&load->callers, &item, intended_us);
+    }
+    int64_t next_us = arr_peek_us(&load->arrivals);
+    if (next_us >= 0) {
+        tmr_start(load->timers, timer, next_us, load_on_arrival, load);
+    }
+    else {
+        load_stop_if_done(load);
+    }
+}
+
+static void
+load_on_refresh(uv_timer_t *timer)
+{
+    struct load *load = timer->data;
+    cal_refresh(&load->callers);
+    tml_advance(&load->timeline, tmr_now_us());
+}
+
+static void
+load_on_progress(uv_timer_t *timer)
+{
+    struct load *load = timer->data;
+    prg_print(&load->progress, &load->report, tmr_now_us());
+}
+
+/* Ends the schedule; requests under way still end. */
+static void
+load_on_interrupt(uv_signal_t *signal, int number)
+{
+    struct load *load = signal->data;
+    load->arrivals.end_us = tmr_now_us();
+    load_stop_if_done(load);
+}
+
+static FILE *
+load_open_file(const char *path)
+{
+    FILE *file = fopen(path, "w");
+    if (file == NULL) {
+        perror(path);
+    }
+    return file;
+}
+
+static int
+load_init_callers(struct load *load)
+{
+    const struct load_options *options = load->options;
+    load->callers = (struct cal){
+        .settings =
+            {
+                .zone = options->zone,
+                .name_prefix = options->caller_prefix,
+                .count = (uint32_t)options->callers,
+                .deadline_ms = options->deadline_ms,
+                .limit = options->limit,
+                .seed = (uint64_t)options->seed,
+            },
+        .pool = pol_new(load->loop, (uint32_t)options->connections),
+        .timers = load->timers,
+        .report = &load->report,
+        .entries = g_new0(struct ent, options->callers),
+        .ended = load_on_ended,
+        .ctx = load,
+    };
+    chk_init(&load->callers.checker);
+    for (int64_t i = 0; i < options->callers; i++) {
+        struct ent *entries = &load->callers.entries[i];
+        if (ent_init(entries, options->entries) != RC_OK) {
+            (void)fprintf(stderr, "--entries: '%s' is not IPV4:PORT,...\n",
+                          options->entries);
+            return RC_USAGE;
+        }
+        /* Callers start at different addresses. */
+        entries->next = (uint32_t)i;
+    }
+    if (options->order_log != NULL) {
+        load->callers.order_log = load_open_file(options->order_log);
+        if (load->callers.order_log == NULL) {
+            return RC_IO;
+        }
+        (void)fprintf(load->callers.order_log, "id,end,reason,repeated\n");
+    }
+    return RC_OK;
+}
+
+static int
+load_init(struct load *load, const struct load_options *options)
+{
+    load->options = options;
+    load->loop = uv_default_loop();
+    load->timers = tmr_set_new(load->loop);
+    if (load->timers == NULL) {
+        return RC_IO;
+    }
+    rep_init(&load->report);
+    if (mix_init(&load->mix, options->services, (uint64_t)options->seed) !=
+        RC_OK) {
+        (void)fprintf(stderr, "--service: '%s' is not NAME=WEIGHT,...\n",
+                      options->services);
+        return RC_USAGE;
+    }
+    load->mix.key_permille = options->key_permille;
+    load->mix.order_permille = options->order_permille;
+    load->mix.caller_count = (uint32_t)options->callers;
+    return load_init_callers(load);
+}
+
+static int
+load_start(struct load *load)
+{
+    const struct load_options *options = load->options;
+    FILE *timeline = NULL;
+    if (options->timeline != NULL) {
+        timeline = load_open_file(options->timeline);
+        if (timeline == NULL) {
+            return RC_IO;
+        }
+    }
+    int64_t now_us = tmr_now_us();
+    load->started_unix_ms = g_get_real_time() / 1000;
+    tml_init(&load->timeline, timeline, now_us);
+    load->progress = (struct prg){
+        .out = isatty(STDERR_FILENO) ? stderr : NULL,
+        .start_us = now_us,
+    };
+    arr_init(&load->arrivals, options->rate, options->seconds,
+             strcmp(options->arrivals, "poisson") == 0,
+             (uint64_t)options->seed, now_us);
+    uv_timer_init(load->loop, &load->refresh_timer);
+    load->refresh_timer.data = load;
+    uv_timer_start(&load->refresh_timer, load_on_refresh, 0, LOAD_REFRESH_MS);
+    uv_timer_init(load->loop, &load->progress_timer);
+    load->progress_timer.data = load;
+    uv_timer_start(&load->progress_timer, load_on_progress, LOAD_PROGRESS_MS,
+                   LOAD_PROGRESS_MS);
+    uv_signal_init(load->loop, &load->interrupt);
+    load->interrupt.data = load;
+    uv_signal_start(&load->interrupt, load_on_interrupt, SIGINT);
+    tmr_start(load->timers, &load->arrival_timer, now_us, load_on_arrival,
+              load);
+    return RC_OK;
+}
+
+static int
+load_write_json(const struct load *load, double seconds)
+{
+    if (load->options->json == NULL) {
+        return RC_OK;
+    }
+    json_t *results = rep_json(&load->report, seconds);
+    json_object_set_new(results, "rate", json_integer(load->options->rate));
+    json_object_set_new(results, "seed", json_integer(load->options->seed));
+    json_object_set_new(results, "started_unix_ms",
+                        json_integer(load->started_unix_ms));
+    int failed = json_dump_file(results, load->options->json,
+                                JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+    json_decref(results);
+    if (failed != 0) {
+        perror(load->options->json);
+        return RC_IO;
+    }
+    return RC_OK;
+}
+
+static int
+load_finish(struct load *load)
+{
+    int64_t length_us = load->arrivals.end_us - load->arrivals.start_us;
+    double seconds = (double)length_us / 1e6;
+    tml_advance(&load->timeline, tmr_now_us() + TML_STEP_US);
+    prg_finish(&load->progress);
+    rep_print(&load->report, seconds, stdout);
+    int rc = load_write_json(load, seconds);
+    if (load->timeline.out != NULL && fclose(load->timeline.out) != 0) {
+        rc = RC_IO;
+    }
+    if (load->callers.order_log != NULL &&
+        fclose(load->callers.order_log) != 0) {
+        rc = RC_IO;
+    }
+    if (rc != RC_OK) {
+        return 2;
+    }
+    return load->report.wrong == 0 ? 0 : 1;
+}
+
+int
+load_run(const struct load_options *options)
+{
+    /* Static: the loop's handles stay in use until the process ends. */
+    static struct load load;
+    if (load_init(&load, options) != RC_OK || load_start(&load) != RC_OK) {
+        return 2;
+    }
+    uv_run(load.loop, UV_RUN_DEFAULT);
+    return load_finish(&load);
+}
--- /dev/null
+++ b/load/main.c
@@ -0,0 +1,14 @@
+#include "common/rc.h"
+#include "load/load.h"
+#include "standin/run.h"
+
+int
+main(int argc, char **argv)
+{
+    static struct load_options options;
+    if (load_options_parse(&options, argc, argv) != RC_OK) {
+        return 2;
+    }
+    stn_raise_file_limit();
+    return load_run(&options);
+}
--- /dev/null
+++ b/load/progress.c
@@ -0,0 +1,56 @@
+#include <inttypes.h>
+
+#include "load/progress.h"
+
+void
+prg_ended(struct prg *progress, const struct rep_outcome *outcome)
+{
+    if (outcome->wrong != CHK_RIGHT) {
+        return;
+    }
+    progress->refused += outcome->end == REP_REFUSED;
+    if (outcome->end != REP_ANSWERED) {
+        return;
+    }
+    progress->ok += 1;
+    if (!outcome->is_order) {
+        progress->searches += 1;
+        progress->coverage_sum += outcome->coverage;
+        hst_add(&progress->latency, outcome->latency_us);
+    }
+}
+
+void
+prg_print(struct prg *progress, const struct rep *report, int64_t now_us)
+{
+    if (progress->out == NULL) {
+        return;
+    }
+    double coverage = progress->searches == 0 ? 0
+                                              : progress->coverage_sum /
+                                                    (double)progress->searches;
+    (void)fprintf(progress->out,
+                  "\r%4" PRId64 " s  sent %" PRIu64 "/s  ok %" PRIu64
+                  "/s  refused %" PRIu64 "/s  p50 %.1f ms  p99 %.1f ms  "
+                  "coverage %.4f  errors %" PRIu64 "  wrong %" PRIu64 "\033[K",
+                  (now_us - progress->start_us) / 1000000,
+                  report->sent - progress->sent, progress->ok,
+                  progress->refused,
+                  (double)hst_value_at(&progress->latency, 500) / 1e3,
+                  (double)hst_value_at(&progress->latency, 990) / 1e3,
+                  coverage, report->errors, report->wrong);
+    (void)fflush(progress->out);
+    *progress = (struct prg){
+        .out = progress->out,
+        .start_us = progress->start_us,
+        .sent = report->sent,
+    };
+}
+
+void
+prg_finish(struct prg *progress)
+{
+    if (progress->out != NULL) {
+        (void)fprintf(progress->out, "\n");
+    }
+}
--- a/standin/searcher_reply.c
+++ b/standin/searcher_reply.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "standin/answer.h"
+#include "standin/hits.h"
 #include "standin/searcher_reply.h"
 
 /* Above any limit that a relay could have for one shard's answer. */
@@ -76,14 +76,14 @@
 sre_search(const struct sea *searcher, int64_t version, uint32_t shard,
            const char *query, int64_t limit)
 {
-    struct ans_hit hits[ANS_HITS_PER_SHARD];
-    ans_hits(version, shard, query, hits);
+    struct sih_hit hits[SIH_PER_SHARD];
+    sih_shard(version, shard, query, hits);
     json_t *list = json_array();
-    for (uint32_t i = 0; i < ANS_HITS_PER_SHARD && i < limit; i++) {
+    for (uint32_t i = 0; i < SIH_PER_SHARD && i < limit; i++) {
         json_array_append_new(
             list, json_pack("[I, s]", (json_int_t)hits[i].score, hits[i].id));
     }
-    ans_hits_clear(hits, ANS_HITS_PER_SHARD);
+    sih_clear(hits, SIH_PER_SHARD);
     return json_pack("{s:I, s:i, s:I, s:o}", "version", (json_int_t)version,
                      "shard", (int)shard, "start", (json_int_t)searcher->start,
                      "hits", list);
--- /dev/null
+++ b/tests/load/test_load.c
@@ -0,0 +1,329 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/rc.h"
+#include "load/arrival.h"
+#include "load/check.h"
+#include "load/entries.h"
+#include "load/mix.h"
+#include "script.h"
+#include "standin/hits.h"
+
+struct load_test {
+    struct chk checker;
+    json_t *answer;
+    struct chk_query query;
+    struct ent entries;
+    struct arr arrivals;
+};
+
+/* schedule RATE SECONDS even|poisson SEED */
+static void
+run_schedule(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    arr_init(&test->arrivals, scr_number(argc, argv, 1),
+             scr_number(argc, argv, 2), strcmp(argv[3], "poisson") == 0,
+             (uint64_t)scr_number(argc, argv, 4), 0);
+}
+
+/* take NOW_US: takes what is due */
+static void
+run_take(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    int64_t now_us = scr_number(argc, argv, 1);
+    int64_t at_us;
+    int64_t first_us = -1;
+    int64_t last_us = -1;
+    int count = 0;
+    while ((at_us = arr_take_us(&test->arrivals, now_us)) >= 0) {
+        assert_true(at_us >= last_us);
+        first_us = first_us < 0 ? at_us : first_us;
+        last_us = at_us;
+        count += 1;
+    }
+    g_string_append_printf(out, "count=%d first=%" PRId64 " last=%" PRId64,
+                           count, first_us, last_us);
+}
+
+/* take-all LOW HIGH: whether the number of arrivals left is in the range */
+static void
+run_take_all(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    int64_t count = 0;
+    while (arr_take_us(&test->arrivals, INT64_MAX) >= 0) {
+        count += 1;
+    }
+    bool is_inside = count >= scr_number(argc, argv, 1) &&
+                     count <= scr_number(argc, argv, 2);
+    g_string_append(out, is_inside ? "inside" : "outside");
+}
+
+/* share SERVICES NAME: permille of draws that go to the service */
+static void
+run_share(void *ctx, int argc, char **argv, GString *out)
+{
+    struct mix mix;
+    int rc = mix_init(&mix, argv[1], 1);
+    int count = 0;
+    for (int i = 0; rc == RC_OK && i < 100000; i++) {
+        struct mix_item item = mix_draw(&mix);
+        assert_int_equal(item.number, i);
+        count += strcmp(item.service, argv[2]) == 0;
+    }
+    mix_clear(&mix);
+    if (rc != RC_OK) {
+        g_string_append(out, rc_name(rc));
+        return;
+    }
+    g_string_append_printf(out, "percent=%d", (count + 500) / 1000);
+}
+
+static gint
+compare_hits(gconstpointer a, gconstpointer b)
+{
+    const struct sih_hit *left = a;
+    const struct sih_hit *right = b;
+    return (left->score < right->score) - (left->score > right->score);
+}
+
+static json_t *
+make_hits(uint32_t from, uint32_t to, int missing, const char *query,
+          int64_t limit)
+{
+    GArray *hits = g_array_new(FALSE, FALSE, sizeof(struct sih_hit));
+    for (uint32_t shard = from; shard < to; shard++) {
+        struct sih_hit found[SIH_PER_SHARD];
+        if ((int)shard != missing) {
+            sih_shard(7, shard, query, found);
+            g_array_append_vals(hits, found, SIH_PER_SHARD);
+        }
+    }
+    g_array_sort(hits, compare_hits);
+    json_t *list = json_array();
+    for (guint i = 0; i < hits->len; i++) {
+        struct sih_hit *hit = &g_array_index(hits, struct sih_hit, i);
+        if (i < limit) {
+            json_array_append_new(
+                list, json_pack("[I, s]", (json_int_t)hit->score, hit->id));
+        }
+        g_free(hit->id);
+    }
+    g_array_free(hits, TRUE);
+    return list;
+}
+
+/* answer SHARDS MISSING LIMIT [KEY]: a right answer of version 7 to "fog" */
+static void
+run_answer(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    uint32_t shards = (uint32_t)scr_number(argc, argv, 1);
+    int missing = (int)scr_number(argc, argv, 2);
+    uint32_t from = 0;
+    uint32_t to = shards;
+    g_free((char *)test->query.key);
+    test->query = (struct chk_query){
+        .service = "dispatch",
+        .text = "fog",
+        .key = argc > 4 ? g_strdup(argv[4]) : NULL,
+        .limit = scr_number(argc, argv, 3),
+    };
+    if (test->query.key != NULL) {
+        from = (uint32_t)(XXH64(argv[4], strlen(argv[4]), 0) % shards);
+        to = from + 1;
+    }
+    json_t *list = json_array();
+    if (missing >= 0) {
+        json_array_append_new(list, json_pack("{s:i, s:s}", "shard", missing,
+                                              "reason", "no_relay"));
+    }
+    double needed = (double)(to - from);
+    json_decref(test->answer);
+    test->answer = json_pack(
+        "{s:i, s:f, s:i, s:o, s:b, s:o}", "snapshot", 7, "coverage",
+        (needed - (missing >= 0)) / needed, "shards_total", (int)(to - from),
+        "missing", list, "complete", missing < 0, "hits",
+        make_hits(from, to, missing, "fog", test->query.limit));
+}
+
+/* check [NAME VALUE | hit INDEX VALUE]: checks the answer with one change */
+static void
+run_check(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    json_t *changed = json_deep_copy(test->answer);
+    json_t *hits = json_object_get(changed, "hits");
+    json_t *value =
+        argc < 3 ? NULL : json_loads(argv[argc - 1], JSON_DECODE_ANY, NULL);
+    if (argc == 3) {
+        json_object_set_new(changed, argv[1], value);
+    }
+    else if (argc == 4) {
+        json_array_set_new(hits, (size_t)scr_number(argc, argv, 2), value);
+    }
+    char *text = json_dumps(changed, JSON_COMPACT);
+    struct chk_result result =
+        chk_search(&test->checker, &test->query, text, strlen(text));
+    g_string_append_printf(out, "%s", chk_name(result.wrong));
+    if (result.wrong == CHK_RIGHT) {
+        g_string_append_printf(out, " coverage=%.3f complete=%d",
+                               result.coverage, result.is_complete);
+    }
+    free(text);
+    json_decref(changed);
+}
+
+/* check-moved FROM TO: copies one hit over another */
+static void
+run_check_moved(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    json_t *hits = json_object_get(test->answer, "hits");
+    char *hit = json_dumps(
+        json_array_get(hits, (size_t)scr_number(argc, argv, 1)), JSON_COMPACT);
+    char *command[] = {"check", "hit", argv[2], hit};
+    run_check(ctx, 4, command, out);
+    free(hit);
+}
+
+static void
+run_check_text(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    struct chk_result result =
+        chk_search(&test->checker, &test->query, argv[1], strlen(argv[1]));
+    g_string_append(out, chk_name(result.wrong));
+}
+
+static void
+run_refusal(void *ctx, int argc, char **argv, GString *out)
+{
+    int rc = RC_OK;
+    enum chk_kind kind = chk_refusal((int)scr_number(argc, argv, 1), argv[2],
+                                     strlen(argv[2]), &rc);
+    g_string_append_printf(out, "%s rc=%d", chk_name(kind), rc);
+}
+
+static void
+run_order(void *ctx, int argc, char **argv, GString *out)
+{
+    g_string_append(out,
+                    chk_name(chk_order(argv[1], argv[2], strlen(argv[2]))));
+}
+
+static void
+run_seeds(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    g_string_append(out, rc_name(ent_init(&test->entries, argv[1])));
+}
+
+/* pick NOW_US COUNT [AVOID] */
+static void
+run_pick(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    const char *avoid = argc > 3 ? g_intern_string(argv[3]) : NULL;
+    for (gint64 i = 0; i < scr_number(argc, argv, 2); i++) {
+        g_string_append_printf(
+            out, "%s%s", i == 0 ? "" : " ",
+            ent_pick(&test->entries, avoid, scr_number(argc, argv, 1)));
+    }
+}
+
+static void
+run_failed(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    ent_failed(&test->entries, g_intern_string(argv[2]),
+               scr_number(argc, argv, 1));
+}
+
+static void
+run_due(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    const char *address = "no";
+    ent_is_due(&test->entries, scr_number(argc, argv, 1), &address);
+    g_string_append(out, address);
+}
+
+static void
+run_refreshed(void *ctx, int argc, char **argv, GString *out)
+{
+    struct load_test *test = ctx;
+    int rc = ent_refreshed(&test->entries, argv[2], (int64_t)strlen(argv[2]),
+                           scr_number(argc, argv, 1));
+    g_string_append(out, rc_name(rc));
+}
+
+static const struct scr_command commands[] = {
+    {"schedule", run_schedule},
+    {"take", run_take},
+    {"take-all", run_take_all},
+    {"share", run_share},
+    {"answer", run_answer},
+    {"check", run_check},
+    {"check-moved", run_check_moved},
+    {"check-text", run_check_text},
+    {"refusal", run_refusal},
+    {"order", run_order},
+    {"seeds", run_seeds},
+    {"pick", run_pick},
+    {"failed", run_failed},
+    {"due", run_due},
+    {"refreshed", run_refreshed},
+};
+
+static void
+run_file(const char *path)
+{
+    struct load_test test = {.answer = NULL};
+    chk_init(&test.checker);
+    assert_int_equal(scr_run(path, commands, G_N_ELEMENTS(commands), &test),
+                     0);
+    chk_clear(&test.checker);
+    json_decref(test.answer);
+    g_free((char *)test.query.key);
+}
+
+static void
+test_arrival(void **state)
+{
+    run_file(SCRIPT_DIR "/arrival.txt");
+}
+
+static void
+test_check(void **state)
+{
+    run_file(SCRIPT_DIR "/check.txt");
+}
+
+static void
+test_entries(void **state)
+{
+    run_file(SCRIPT_DIR "/entries.txt");
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_arrival),
+        cmocka_unit_test(test_check),
+        cmocka_unit_test(test_entries),
+    };
+    return cmocka_run_group_tests_name("load", tests, NULL, NULL);
+}
