Add shell functions that write configurations for local deployments

Cause: system tests and measurements need services of any shape.

Change: config_head and config_service print YAML for stand-in searchers.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -185,3 +185,47 @@
         awk -v n="carobhatch_$2" '$1 == n || index($1, n "{") == 1 { s += $2 }
                                   END { print s + 0 }'
 }
+
+# config_service NAME BASE-PORT INSTANCES REPLICAS SLOTS CONNECTIONS
+#     CONNECT-COST-US [KEY: VALUE lines...]: one service as YAML, with the
+# ports and zones that standin-searcher gives with --zones a,b,c.
+config_service() {
+    local name=$1 port=$2 instances=$3 replicas=$4 i r n=0
+    echo "  - name: $name"
+    echo "    slots: $5"
+    echo "    connections: $6"
+    echo "    connect_cost_us: $7"
+    shift 7
+    local line
+    for line in "$@"; do
+        echo "    $line"
+    done
+    echo "    instances:"
+    for ((i = 0; i < instances; i++)); do
+        echo "      - name: ${name:0:2}$i"
+        echo "        searchers:"
+        for ((r = 0; r < replicas; r++)); do
+            echo "          - name: ${name:0:2}$i-$r"
+            echo "            zone: ${CONFIG_ZONES[$((n % 3))]}"
+            echo "            address: 127.0.0.1:$((port + n))"
+            n=$((n + 1))
+        done
+    done
+}
+
+CONFIG_ZONES=(a b c)
+
+# config_head: everything before the services.
+config_head() {
+    local zone
+    echo "cluster: local"
+    echo "zones:"
+    for zone in "${CONFIG_ZONES[@]}"; do
+        echo "  - name: $zone"
+        echo "    state: in"
+    done
+    echo "callers:"
+    echo "  - name: default"
+    echo "    quota_per_s: 100000"
+    echo "services:"
+}
--- a/scripts/lodz.sh
+++ b/scripts/lodz.sh
@@ -37,7 +37,7 @@
         machine_start "$i" "${LODZ_ZONES[$((i % 3))]}"
     done
     for ((i = 0; i < machines; i++)); do
-        dep_wait 10 http_get "$(agent_http "$i")/healthz"
+        dep_wait 10 http_get "$(agent_http "$i")/status"
     done
     ctl --base examples/lodz/base.yaml --overlay examples/lodz/site.yaml apply
     for ((i = 0; i < machines; i++)); do
