Refuse HTTP connections that lead to their own socket

Cause: on loopback a connection to a port on which nothing listens can pick that port as its own local port and then connects to itself (TCP simultaneous open).

Change: a connection whose two ends are the same counts as failed.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -152,6 +152,26 @@
     hcl_parse(conn, buf->base, (size_t)nread);
 }
 
+/*
+ * Whether the connection leads to its own socket. That happens on a loopback
+ * address when nothing listens on a port of the range that the kernel takes
+ * local ports from.
+ */
+static bool
+hcl_is_own_peer(const struct hcl_conn *conn)
+{
+    struct sockaddr_in local;
+    struct sockaddr_in peer;
+    int local_bytes = sizeof(local);
+    int peer_bytes = sizeof(peer);
+    return uv_tcp_getsockname(&conn->tcp, (struct sockaddr *)&local,
+                              &local_bytes) == 0 &&
+           uv_tcp_getpeername(&conn->tcp, (struct sockaddr *)&peer,
+                              &peer_bytes) == 0 &&
+           local.sin_port == peer.sin_port &&
+           local.sin_addr.s_addr == peer.sin_addr.s_addr;
+}
+
 static void
 hcl_on_connect(uv_connect_t *req, int status)
 {
@@ -160,8 +180,9 @@
         return;
     }
     int rc = RC_LINK_FAILED;
-    if (status == 0 && uv_read_start((uv_stream_t *)&conn->tcp, hcl_on_alloc,
-                                     hcl_on_read) == 0) {
+    if (status == 0 && !hcl_is_own_peer(conn) &&
+        uv_read_start((uv_stream_t *)&conn->tcp, hcl_on_alloc, hcl_on_read) ==
+            0) {
         conn->is_up = true;
         rc = RC_OK;
     }
