--- a/include/load/check.h
+++ b/include/load/check.h
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/rc.h"
+
 /* Checks answers against what the stand-in searchers must have said. */
 
 /* X(symbol, name, what is wrong) */
@@ -23,7 +25,7 @@
     X(CHK_DUPLICATE, "duplicate_hit", "a hit is there twice")                 \
     X(CHK_UNSORTED, "unsorted", "hits are not sorted by score")               \
     X(CHK_HITS, "lost_hits", "a better hit is left out")                      \
-    X(CHK_REFUSAL, "bad_refusal", "refusal without a known code")             \
+    X(CHK_REFUSAL, "bad_refusal", "refusal without a known code or run")      \
     X(CHK_STATUS, "refusal_status", "status does not fit the code")           \
     X(CHK_ORDER, "foreign_order", "answer does not name the order's id")
 
@@ -62,8 +64,14 @@
 /* Checks the body of an order's 200 answer. */
 enum chk_kind chk_order(const char *id, const char *body, size_t body_bytes);
 
-/* Checks an answer other than 200; `*rc` becomes its result code. */
+/* What a refusal says. */
+struct chk_refusal {
+    int rc;
+    enum rc_run run;
+};
+
+/* Checks {"code", "name", "run"} of an answer other than 200. */
 enum chk_kind chk_refusal(int status, const char *body, size_t body_bytes,
-                          int *rc);
+                          struct chk_refusal *out);
 
 #endif
--- a/include/load/entries.h
+++ b/include/load/entries.h
@@ -37,8 +37,9 @@
 int ent_init(struct ent *entries, const char *seeds);
 
 /*
- * Takes the address for the next request, in turn; `avoid` (interned, may be
- * NULL) is taken only if there is no other.
+ * Takes the address for the next request, in turn. Addresses that failed
+ * lately and `avoid` (interned, may be NULL) are passed over; the seeds are
+ * used when none is left, and any address when those have failed, too.
  */
 const char *ent_pick(struct ent *entries, const char *avoid, int64_t now_us);
 
--- a/include/load/report.h
+++ b/include/load/report.h
@@ -24,6 +24,7 @@
     bool is_order;
     enum chk_kind wrong;
     int rc;            /* of a refusal */
+    enum rc_run run;   /* what a refusal says */
     const char *error; /* name of an error */
     double coverage;
     bool is_complete;
--- a/load/caller.c
+++ b/load/caller.c
@@ -39,24 +39,25 @@
 static void
 cal_log_order(struct cal_request *request, const struct rep_outcome *outcome)
 {
-    static const char *const ends[] = {
-        [REP_ANSWERED] = "ok",
-        [REP_REFUSED] = "refused",
-        [REP_ERROR] = "error",
-    };
     FILE *out = request->callers->order_log;
+    const char *end = "ok";
+    const char *reason = "";
+    enum rc_run run = RC_RUN_YES;
     if (out == NULL || request->id == NULL) {
         return;
     }
-    const char *reason = "";
     if (outcome->end == REP_REFUSED) {
+        end = "refused";
         reason = rc_name(outcome->rc);
+        run = outcome->run;
     }
     else if (outcome->end == REP_ERROR) {
+        end = "error";
         reason = outcome->error;
+        run = RC_RUN_UNKNOWN;
     }
-    (void)fprintf(out, "%s,%s,%s,%d\n", request->id, ends[outcome->end],
-                  reason, request->is_second);
+    (void)fprintf(out, "%s,%s,%s,%s,%d\n", request->id, end, reason,
+                  rc_run_name(run), request->is_second);
 }
 
 /* Reports the outcome and frees the request. */
@@ -79,11 +80,13 @@
 }
 
 static void
-cal_end_refused(struct cal_request *request, int rc, enum chk_kind wrong)
+cal_end_refused(struct cal_request *request, const struct chk_refusal *refusal,
+                enum chk_kind wrong)
 {
     struct rep_outcome outcome = {
         .end = REP_REFUSED,
-        .rc = rc,
+        .rc = refusal->rc,
+        .run = refusal->run,
         .wrong = wrong,
     };
     cal_end(request, &outcome);
@@ -93,10 +96,10 @@
 static void
 cal_refuse(struct cal_request *request, const struct xch_result *result)
 {
-    int rc = RC_OK;
-    enum chk_kind wrong =
-        chk_refusal(result->status, result->body, result->body_bytes, &rc);
-    cal_end_refused(request, rc, wrong);
+    struct chk_refusal refusal = {.rc = RC_OK};
+    enum chk_kind wrong = chk_refusal(result->status, result->body,
+                                      result->body_bytes, &refusal);
+    cal_end_refused(request, &refusal, wrong);
 }
 
 static void
@@ -238,15 +241,15 @@
         cal_end(request, &outcome);
         return;
     }
-    int rc = RC_OK;
-    enum chk_kind wrong =
-        chk_refusal(result->status, result->body, result->body_bytes, &rc);
-    if (wrong == CHK_RIGHT && rc == RC_OUTCOME_UNKNOWN &&
+    struct chk_refusal refusal = {.rc = RC_OK};
+    enum chk_kind wrong = chk_refusal(result->status, result->body,
+                                      result->body_bytes, &refusal);
+    if (wrong == CHK_RIGHT && refusal.rc == RC_OUTCOME_UNKNOWN &&
         !request->is_second) {
         cal_repeat_order(request);
         return;
     }
-    cal_end_refused(request, rc, wrong);
+    cal_end_refused(request, &refusal, wrong);
 }
 
 static void
--- a/load/check.c
+++ b/load/check.c
@@ -339,16 +339,31 @@
     return is_named ? CHK_RIGHT : CHK_ORDER;
 }
 
+static bool
+chk_read_run(const json_t *body, enum rc_run *out)
+{
+    const char *name = json_string_value(json_object_get(body, "run"));
+    for (int run = RC_RUN_NO; name != NULL && run <= RC_RUN_YES; run++) {
+        if (strcmp(rc_run_name((enum rc_run)run), name) == 0) {
+            *out = (enum rc_run)run;
+            return true;
+        }
+    }
+    return false;
+}
+
 enum chk_kind
-chk_refusal(int status, const char *body, size_t body_bytes, int *rc)
+chk_refusal(int status, const char *body, size_t body_bytes,
+            struct chk_refusal *out)
 {
     json_t *parsed = json_loadb(body, body_bytes, 0, NULL);
     const char *name = json_string_value(json_object_get(parsed, "name"));
     int64_t code = json_integer_value(json_object_get(parsed, "code"));
-    *rc = name == NULL ? 1 : rc_from_name(name);
+    out->rc = name == NULL ? 1 : rc_from_name(name);
+    bool has_run = chk_read_run(parsed, &out->run);
     json_decref(parsed);
-    if (*rc >= 0 || code != *rc) {
+    if (out->rc >= 0 || code != out->rc || !has_run) {
         return CHK_REFUSAL;
     }
-    return rc_http_status(*rc) == status ? CHK_RIGHT : CHK_STATUS;
+    return rc_http_status(out->rc) == status ? CHK_RIGHT : CHK_STATUS;
 }
--- a/load/entries.c
+++ b/load/entries.c
@@ -43,28 +43,34 @@
     return now_us - item->failed_us < ENT_AVOID_US;
 }
 
-const char *
-ent_pick(struct ent *entries, const char *avoid, int64_t now_us)
+/* The next address of the list that has not failed lately, or NULL. */
+static const char *
+ent_list_pick(const struct ent_list *list, uint32_t turn, const char *avoid,
+              int64_t now_us)
 {
-    const struct ent_list *list = &entries->current;
-    const char *second = NULL;
-    CH_INVARIANT(list->count > 0);
-    uint32_t first = entries->next++;
     for (uint32_t i = 0; i < list->count; i++) {
         const struct ent_address *item =
-            &list->items[(first + i) % list->count];
-        if (item->address == avoid) {
-            continue;
-        }
-        if (!ent_is_avoided(item, now_us)) {
+            &list->items[(turn + i) % list->count];
+        if (item->address != avoid && !ent_is_avoided(item, now_us)) {
             return item->address;
         }
-        if (second == NULL) {
-            second = item->address;
+    }
+    return NULL;
+}
+
+const char *
+ent_pick(struct ent *entries, const char *avoid, int64_t now_us)
+{
+    uint32_t turn = entries->next++;
+    const struct ent_list *lists[] = {&entries->current, &entries->seeds};
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        const char *address = ent_list_pick(lists[i], turn, avoid, now_us);
+        if (address != NULL) {
+            return address;
         }
     }
-    /* All have failed lately, or `avoid` is the only one. */
-    return second != NULL ? second : list->items[first % list->count].address;
+    CH_INVARIANT(entries->current.count > 0);
+    return entries->current.items[turn % entries->current.count].address;
 }
 
 static void
@@ -91,14 +97,11 @@
         return false;
     }
     entries->is_asking = true;
-    struct ent_list *lists[] = {&entries->current, &entries->seeds};
-    for (size_t l = 0; l < G_N_ELEMENTS(lists); l++) {
-        for (uint32_t i = 0; i < lists[l]->count; i++) {
-            uint32_t turn = (entries->next + i) % lists[l]->count;
-            if (!ent_is_avoided(&lists[l]->items[turn], now_us)) {
-                *address = lists[l]->items[turn].address;
-                return true;
-            }
+    const struct ent_list *lists[] = {&entries->current, &entries->seeds};
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        *address = ent_list_pick(lists[i], entries->next, NULL, now_us);
+        if (*address != NULL) {
+            return true;
         }
     }
     CH_INVARIANT(entries->seeds.count > 0);
--- a/load/load.c
+++ b/load/load.c
@@ -142,7 +142,7 @@
         if (load->callers.order_log == NULL) {
             return RC_IO;
         }
-        (void)fprintf(load->callers.order_log, "id,end,reason,repeated\n");
+        (void)fprintf(load->callers.order_log, "id,end,reason,run,repeated\n");
     }
     return RC_OK;
 }
--- a/load/progress.c
+++ b/load/progress.c
@@ -33,7 +33,7 @@
                   "\r%4" PRId64 " s  sent %" PRIu64 "/s  ok %" PRIu64
                   "/s  refused %" PRIu64 "/s  p50 %.1f ms  p99 %.1f ms  "
                   "coverage %.4f  errors %" PRIu64 "  wrong %" PRIu64 "\033[K",
-                  (now_us - progress->start_us) / 1000000,
+                  (now_us - progress->start_us + 500000) / 1000000,
                   report->sent - progress->sent, progress->ok,
                   progress->refused,
                   (double)hst_value_at(&progress->latency, 500) / 1e3,
--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -210,10 +210,11 @@
 static void
 run_refusal(void *ctx, int argc, char **argv, GString *out)
 {
-    int rc = RC_OK;
+    struct chk_refusal refusal = {.rc = RC_OK};
     enum chk_kind kind = chk_refusal((int)scr_number(argc, argv, 1), argv[2],
-                                     strlen(argv[2]), &rc);
-    g_string_append_printf(out, "%s rc=%d", chk_name(kind), rc);
+                                     strlen(argv[2]), &refusal);
+    g_string_append_printf(out, "%s rc=%d run=%s", chk_name(kind), refusal.rc,
+                           rc_run_name(refusal.run));
 }
 
 static void
