Let only the tool write a cell that it resets

Cause: an agent that handles POST /cell/reset writes the object itself, with the members of the request and the version that it reads then. An agent that was paused would write the old list over a later change of the cell. Change: the tool writes the object once, conditionally, and waits until the agents' status shows a newer version. The store's own version is the cell's version, so the value holds only the members.

--- a/ctl/agents.c
+++ b/ctl/agents.c
@@ -58,15 +58,15 @@
 };
 
 static void
-agt_call(const struct ctl *ctl, struct agt *agents, int64_t below,
-         const struct cll *call, struct agt_batch *out, int64_t timeout_ms)
+agt_call(const struct ctl *ctl, struct agt *agents, const struct cll *call,
+         struct agt_batch *out, int64_t timeout_ms)
 {
     *out = (struct agt_batch){
         .calls = g_new0(struct cll, ctl->agent_count),
         .agents = g_new0(struct agt *, ctl->agent_count),
     };
     for (guint i = 0; i < ctl->agent_count; i++) {
-        if (agents[i].revision < below) {
+        if (!agents[i].is_done) {
             out->calls[out->count] = *call;
             out->calls[out->count].address = agents[i].address;
             out->agents[out->count] = &agents[i];
@@ -85,12 +85,11 @@
 }
 
 void
-agt_read(const struct ctl *ctl, struct agt *agents, int64_t below,
-         int64_t timeout_ms)
+agt_read(const struct ctl *ctl, struct agt *agents, int64_t timeout_ms)
 {
     struct cll call = {.method = "GET", .path = "/status"};
     struct agt_batch batch;
-    agt_call(ctl, agents, below, &call, &batch, timeout_ms);
+    agt_call(ctl, agents, &call, &batch, timeout_ms);
     for (size_t i = 0; i < batch.count; i++) {
         struct agt *agent = batch.agents[i];
         json_decref(agent->status);
@@ -105,44 +104,42 @@
     agt_batch_clear(&batch);
 }
 
-void
-agt_post(const struct ctl *ctl, struct agt *agents, int64_t below,
-         const char *path, const char *body, int64_t timeout_ms)
+static void
+agt_post(const struct ctl *ctl, struct agt *agents, const char *body)
 {
-    struct cll call = {.method = "POST", .path = path, .body = body};
+    struct cll call = {.method = "POST", .path = "/config", .body = body};
     struct agt_batch batch;
-    agt_call(ctl, agents, below, &call, &batch, timeout_ms);
-    for (size_t i = 0; i < batch.count; i++) {
-        batch.agents[i]->is_told = cll_is_status(&batch.calls[i], 200);
-    }
+    agt_call(ctl, agents, &call, &batch, AGENT_CALL_MS);
     agt_batch_clear(&batch);
 }
 
 static guint
-agt_count_behind(const struct ctl *ctl, const struct agt *agents,
-                 int64_t revision)
+agt_judge(const struct ctl *ctl, struct agt *agents, agt_is_done_cb is_done,
+          const void *ctx)
 {
-    guint count = 0;
+    guint left = 0;
     for (guint i = 0; i < ctl->agent_count; i++) {
-        count += agents[i].revision < revision;
+        struct agt *agent = &agents[i];
+        agent->is_done =
+            agent->is_done || (agent->status != NULL && is_done(agent, ctx));
+        left += !agent->is_done;
     }
-    return count;
+    return left;
 }
 
 static void
-agt_report(struct ctl *ctl, const struct agt *agents, int64_t revision)
+agt_report(struct ctl *ctl, const struct agt *agents)
 {
     json_t *in_force = json_array();
     json_t *behind = json_array();
     for (guint i = 0; i < ctl->agent_count; i++) {
         const struct agt *agent = &agents[i];
-        if (agent->revision >= revision) {
+        json_array_append_new(agent->is_done ? in_force : behind,
+                              json_string(agt_name(agent)));
+        if (agent->is_done) {
             ctl_print(ctl, "in force: %s", agt_name(agent));
-            json_array_append_new(in_force, json_string(agt_name(agent)));
-            continue;
         }
-        json_array_append_new(behind, json_string(agt_name(agent)));
-        if (agent->status == NULL) {
+        else if (agent->status == NULL) {
             ctl_print(ctl, "not in force: %s (no answer)", agent->address);
         }
         else {
@@ -155,34 +152,49 @@
 }
 
 enum ctl_exit
-agt_follow(struct ctl *ctl, const json_t *document)
+agt_wait(struct ctl *ctl, const char *offer, agt_is_done_cb is_done,
+         const void *ctx)
 {
-    int64_t revision =
-        json_integer_value(json_object_get(document, "revision"));
     if (ctl->agent_count == 0) {
         ctl_warn(ctl, "no --agents: whether it is in force is not known");
         return CTL_DONE;
     }
-    json_t *wrapped = json_pack("{s:I, s:O}", "revision", (json_int_t)revision,
-                                "document", document);
-    char *body = fil_encode(wrapped);
-    json_decref(wrapped);
     struct agt *agents = agt_new(ctl);
     int64_t offered_us = ctl_now_us() - AGENT_REPEAT_US;
-    while (agt_count_behind(ctl, agents, revision) > 0 &&
-           ctl_left_ms(ctl, 1) > 0) {
-        if (ctl_now_us() - offered_us >= AGENT_REPEAT_US) {
-            agt_post(ctl, agents, revision, "/config", body, AGENT_CALL_MS);
+    guint left = ctl->agent_count;
+    while (left > 0 && ctl_left_ms(ctl, 1) > 0) {
+        if (offer != NULL && ctl_now_us() - offered_us >= AGENT_REPEAT_US) {
+            agt_post(ctl, agents, offer);
             offered_us = ctl_now_us();
         }
-        agt_read(ctl, agents, revision, AGENT_CALL_MS);
-        if (agt_count_behind(ctl, agents, revision) > 0) {
+        agt_read(ctl, agents, AGENT_CALL_MS);
+        left = agt_judge(ctl, agents, is_done, ctx);
+        if (left > 0) {
             ctl_pause(ctl, AGENT_PAUSE_MS);
         }
     }
-    agt_report(ctl, agents, revision);
-    guint behind = agt_count_behind(ctl, agents, revision);
+    agt_report(ctl, agents);
     agt_free(ctl, agents);
+    return left > 0 ? CTL_NOT_YET : CTL_DONE;
+}
+
+static bool
+agt_has_revision(const struct agt *agent, const void *ctx)
+{
+    const int64_t *revision = ctx;
+    return agent->revision >= *revision;
+}
+
+enum ctl_exit
+agt_follow(struct ctl *ctl, const json_t *document)
+{
+    int64_t revision =
+        json_integer_value(json_object_get(document, "revision"));
+    json_t *wrapped = json_pack("{s:I, s:O}", "revision", (json_int_t)revision,
+                                "document", document);
+    char *body = fil_encode(wrapped);
+    json_decref(wrapped);
+    enum ctl_exit code = agt_wait(ctl, body, agt_has_revision, &revision);
     free(body);
-    return behind > 0 ? CTL_NOT_YET : CTL_DONE;
+    return code;
 }
--- a/ctl/commands/cell.c
+++ b/ctl/commands/cell.c
@@ -1,16 +1,11 @@
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "common/config_schema.h"
 #include "common/rc.h"
 #include "ctl/agents.h"
 #include "ctl/commands.h"
-#include "ctl/files.h"
 #include "ctl/object.h"
 
-#define CELL_CALL_MS 2000
-
 static bool
 cell_has(const json_t *members, const char *name)
 {
@@ -62,53 +57,33 @@
     }
 }
 
-/* Agents that are not reached learn the new version from the store. */
-static enum ctl_exit
-cell_report(struct ctl *ctl, const struct agt *agents)
-{
-    json_t *told = json_array();
-    json_t *not_told = json_array();
-    for (guint i = 0; i < ctl->agent_count; i++) {
-        bool is_told = agents[i].is_told;
-        ctl_print(ctl, "%s: %s", is_told ? "told" : "not told",
-                  agents[i].address);
-        json_array_append_new(is_told ? told : not_told,
-                              json_string(agents[i].address));
-    }
-    bool is_complete = json_array_size(not_told) == 0;
-    json_object_set_new(ctl->result, "told", told);
-    json_object_set_new(ctl->result, "not_told", not_told);
-    return is_complete ? CTL_DONE : CTL_NOT_YET;
-}
-
-static enum ctl_exit
-cell_tell_agents(struct ctl *ctl, const char *name, const json_t *value)
+/* `ctx` is the object before the change. */
+static bool
+cell_has_adopted(const struct agt *agent, const void *ctx)
 {
-    json_t *body = json_deep_copy(value);
-    json_object_set_new(body, "cell", json_string(name));
-    char *text = fil_encode(body);
-    json_decref(body);
-    struct agt *agents = agt_new(ctl);
-    agt_post(ctl, agents, INT64_MAX, "/cell/reset", text, CELL_CALL_MS);
-    enum ctl_exit code = cell_report(ctl, agents);
-    agt_free(ctl, agents);
-    free(text);
-    return code;
+    const struct obj *before = ctx;
+    const json_t *cell = json_object_get(agent->status, "cell");
+    const char *name = json_string_value(json_object_get(cell, "name"));
+    return name != NULL && strcmp(name, before->name) == 0 &&
+           json_integer_value(json_object_get(cell, "version")) >
+               before->version;
 }
 
+/*
+ * Only this command writes the object: agents read it. A write by an agent
+ * that handles the reset late could undo a later change of the cell.
+ */
 static enum ctl_exit
 cell_write(struct ctl *ctl, const struct obj *cell, json_t *members)
 {
-    int64_t version = obj_number(cell) + 1;
-    json_t *value = json_pack("{s:O, s:I}", "members", members, "version",
-                              (json_int_t)version);
+    json_t *value = json_pack("{s:O}", "members", members);
     int rc = obj_update(ctl, cell, value);
     enum ctl_exit code = CTL_DONE;
     if (rc == RC_OK) {
-        ctl_print(ctl, "cell %s: version %" PRId64 ", %zu members", cell->name,
-                  version, json_array_size(members));
-        json_object_set(ctl->result, "cell", value);
-        code = cell_tell_agents(ctl, cell->name, value);
+        ctl_print(ctl, "cell %s: %zu members", cell->name,
+                  json_array_size(members));
+        json_object_set(ctl->result, "members", members);
+        code = agt_wait(ctl, NULL, cell_has_adopted, cell);
     }
     else {
         code = cell_fail(ctl, cell, rc);
@@ -129,8 +104,7 @@
         return ctl_fail(ctl, CTL_USAGE, RC_USAGE,
                         "cell reset: --members needs different names");
     }
-    struct obj cell = {
-        .kind = "cell", .name = argv[2], .number_key = "version"};
+    struct obj cell = {.kind = "cell", .name = argv[2]};
     enum ctl_exit code = CTL_DONE;
     int rc = obj_read(ctl, &cell);
     if (rc != RC_OK) {
--- a/ctl/commands/status.c
+++ b/ctl/commands/status.c
@@ -61,7 +61,7 @@
 cmd_status(struct ctl *ctl, int argc, char **argv)
 {
     struct agt *agents = agt_new(ctl);
-    agt_read(ctl, agents, INT64_MAX, STATUS_CALL_MS);
+    agt_read(ctl, agents, STATUS_CALL_MS);
     status_add_agents(ctl, agents);
     enum ctl_exit code = CTL_DONE;
     int64_t revision = 0;
--- a/ctl/commands/watch.c
+++ b/ctl/commands/watch.c
@@ -142,7 +142,7 @@
 watch_poll_agents(struct watch *watch)
 {
     struct agt *agents = agt_new(watch->ctl);
-    agt_read(watch->ctl, agents, INT64_MAX, 1000);
+    agt_read(watch->ctl, agents, 1000);
     for (guint i = 0; i < watch->ctl->agent_count; i++) {
         if (agents[i].status != NULL || !watch_is_over(watch)) {
             watch_note_agent(watch, i, &agents[i]);
--- a/ctl/object.c
+++ b/ctl/object.c
@@ -19,6 +19,9 @@
 int64_t
 obj_number(const struct obj *object)
 {
+    if (object->number_key == NULL) {
+        return 0;
+    }
     return json_integer_value(
         json_object_get(object->value, object->number_key));
 }
@@ -86,6 +89,9 @@
     if (now->version == object->version) {
         return RC_AGAIN;
     }
+    if (object->number_key == NULL) {
+        return RC_OUTCOME_UNKNOWN;
+    }
     /* A later change may have replaced ours or another one of our number. */
     int64_t ours =
         json_integer_value(json_object_get(value, object->number_key));
--- a/include/ctl/object.h
+++ b/include/ctl/object.h
@@ -7,8 +7,8 @@
 struct obj {
     const char *kind;
     const char *name;
-    /* Key inside the value that holds a number which grows by 1 with each
-     * change. */
+    /* Key inside the value of a number that grows by 1 with each change, or
+     * NULL when there is none. */
     const char *number_key;
     int64_t version; /* 0: it does not exist */
     json_t *value;   /* NULL: it does not exist */
