--- /dev/null
+++ b/tests/ctl/test_docs.c
@@ -0,0 +1,144 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/config.h"
+#include "common/rc.h"
+#include "ctl/files.h"
+#include "script.h"
+
+static struct cfg *
+load_example(const char *site)
+{
+    char *base = g_strdup_printf("%s/examples/%s/base.yaml", ROOT_DIR, site);
+    char *overlay =
+        g_strdup_printf("%s/examples/%s/site.yaml", ROOT_DIR, site);
+    struct fil_document document = {.root = NULL};
+    char *error = NULL;
+    if (fil_load(base, overlay, &document, &error) != RC_OK) {
+        fail_msg("%s", error);
+    }
+    json_object_set_new(document.root, "revision", json_integer(1));
+    char *text = fil_encode(document.root);
+    struct cfg *cfg = NULL;
+    assert_int_equal(cfg_parse(text, strlen(text), &cfg, &error), RC_OK);
+    free(text);
+    fil_clear(&document);
+    g_free(base);
+    g_free(overlay);
+    return cfg;
+}
+
+/* Instances whose replicas do not use as many zones as they could. */
+static size_t
+count_narrow(const struct cfg *cfg, const struct cfg_service *service)
+{
+    size_t narrow = 0;
+    for (size_t i = 0; i < service->instance_count; i++) {
+        const struct cfg_instance *instance = &service->instances[i];
+        GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+        for (size_t j = 0; j < instance->searcher_count; j++) {
+            g_hash_table_add(zones, instance->searchers[j].zone);
+        }
+        narrow += g_hash_table_size(zones) <
+                  MIN(instance->searcher_count, cfg->zone_count);
+        g_hash_table_destroy(zones);
+    }
+    return narrow;
+}
+
+/* example SITE: the figures of the table of current sizes. */
+static void
+run_example(void *ctx, int argc, char **argv, GString *out)
+{
+    struct cfg *cfg = load_example(argv[1]);
+    for (size_t i = 0; i < cfg->zone_count; i++) {
+        g_string_append_printf(out, "%s%s", i > 0 ? " " : "",
+                               cfg->zones[i].name);
+    }
+    g_string_append_c(out, '\n');
+    for (size_t i = 0; i < cfg->service_count; i++) {
+        const struct cfg_service *service = &cfg->services[i];
+        g_string_append_printf(out,
+                               "%s %zu %zu %" PRId64 " %" PRId64 " %" PRId64
+                               " us, narrow %zu, from %s\n",
+                               service->name, service->instance_count,
+                               service->instances[0].searcher_count,
+                               service->slots, service->connections,
+                               service->connect_cost_us,
+                               count_narrow(cfg, service),
+                               service->instances[0].searchers[0].address);
+    }
+    cfg_free(cfg);
+}
+
+#define RC_ROW(symbol, number, name, run, http, text)                         \
+    {number, name, run, http, text},
+static const struct {
+    int number;
+    const char *name;
+    enum rc_run run;
+    int http;
+    const char *text;
+} codes[] = {RC_LIST(RC_ROW)};
+
+static guint
+count_rows(const char *page)
+{
+    char **lines = g_strsplit(page, "\n", -1);
+    guint rows = 0;
+    for (guint i = 0; lines[i] != NULL; i++) {
+        rows += g_regex_match_simple("^\\| -?[0-9]+ \\| `", lines[i], 0, 0);
+    }
+    g_strfreev(lines);
+    return rows;
+}
+
+/* errors: codes of the header that have no row, and surplus rows. */
+static void
+run_errors(void *ctx, int argc, char **argv, GString *out)
+{
+    char *page = NULL;
+    assert_true(
+        g_file_get_contents(ROOT_DIR "/docs/errors.md", &page, NULL, NULL));
+    for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+        char *row = g_strdup_printf(
+            "\n| %d | `%s` | %d | %s | %s | ", codes[i].number, codes[i].name,
+            codes[i].http, rc_run_name(codes[i].run), codes[i].text);
+        if (strstr(page, row) == NULL) {
+            g_string_append_printf(out, "no such row: %s\n", row + 1);
+        }
+        g_free(row);
+    }
+    g_string_append_printf(out, "surplus rows: %d",
+                           (int)count_rows(page) - (int)G_N_ELEMENTS(codes));
+    g_free(page);
+}
+
+static const struct scr_command commands[] = {
+    {"example", run_example},
+    {"errors", run_errors},
+};
+
+static void
+test_docs(void **state)
+{
+    assert_int_equal(scr_run(SCRIPT_DIR "/docs.txt", commands,
+                             G_N_ELEMENTS(commands), NULL),
+                     0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_docs),
+    };
+    return cmocka_run_group_tests_name("docs", tests, NULL, NULL);
+}
