--- a/ctl/commands/watch.c
+++ b/ctl/commands/watch.c
@@ -157,9 +157,6 @@
     struct sigaction action = {.sa_handler = watch_on_interrupt};
     (void)sigaction(SIGINT, &action, NULL);
     (void)sigaction(SIGTERM, &action, NULL);
-    if (ctl->options.timeout_ms == 0) {
-        ctl->deadline_us = INT64_MAX / 2;
-    }
     struct watch watch = {
         .ctl = ctl,
         .after = -1,
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -6,8 +6,6 @@
 #include "common/rc.h"
 #include "ctl/commands.h"
 
-#define DEFAULT_TIMEOUT_MS 10000
-
 static char *
 main_summary(void)
 {
@@ -78,6 +76,10 @@
         return ctl_fail(ctl, CTL_USAGE, RC_USAGE, "%s needs %s", cmd->name,
                         missing);
     }
+    int64_t timeout_ms = ctl->options.timeout_ms > 0 ? ctl->options.timeout_ms
+                                                     : cmd->timeout_ms;
+    ctl->deadline_us =
+        timeout_ms > 0 ? ctl_now_us() + timeout_ms * 1000 : INT64_MAX / 2;
     enum ctl_exit code = main_check_agents(ctl);
     return code == CTL_DONE ? cmd->run(ctl, argc, argv) : code;
 }
@@ -103,10 +105,6 @@
         const char *agents = ctl.options.agents;
         ctl.agents = g_strsplit(agents != NULL ? agents : "", ",", -1);
         ctl.agent_count = g_strv_length(ctl.agents);
-        int64_t timeout_ms = ctl.options.timeout_ms > 0
-                                 ? ctl.options.timeout_ms
-                                 : DEFAULT_TIMEOUT_MS;
-        ctl.deadline_us = ctl_now_us() + timeout_ms * 1000;
         code = main_run(&ctl, argc - 1, argv + 1);
         main_print_result(&ctl);
         g_strfreev(ctl.agents);
--- a/include/ctl/commands.h
+++ b/include/ctl/commands.h
@@ -28,6 +28,7 @@
     cmd_run_cb run;
     unsigned needs; /* bits of enum cmd_need */
     int argument_count;
+    int64_t timeout_ms; /* without --timeout-ms; 0: no limit */
 };
 
 extern const struct cmd cmd_table[];
--- a/tests/ctl/test_docs.c
+++ b/tests/ctl/test_docs.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "common/config.h"
+#include "common/config_schema.h"
 #include "common/rc.h"
 #include "ctl/files.h"
 #include "script.h"
@@ -121,7 +122,47 @@
     g_free(page);
 }
 
+static void
+check_keys(const struct cfg_schema *schema, const char *page, GString *out)
+{
+    for (size_t i = 0; i < schema->field_count; i++) {
+        const struct cfg_field *field = &schema->fields[i];
+        char *key = g_strdup_printf("*%s*", field->key);
+        const char *at = strstr(page, key);
+        g_free(key);
+        char *wanted =
+            g_strdup_printf("Default: %" PRId64 ".", field->fallback);
+        const char *next = at != NULL ? strstr(at + 1, "\n\n") : NULL;
+        const char *found = at != NULL ? strstr(at, wanted) : NULL;
+        bool has_default = field->kind == CFG_NUMBER && !field->is_required &&
+                           field->fallback_key == NULL;
+        g_free(wanted);
+        if (at == NULL) {
+            g_string_append_printf(out, "no such key: %s\n", field->key);
+        }
+        else if (has_default && (found == NULL || found > next)) {
+            g_string_append_printf(out, "other default: %s\n", field->key);
+        }
+        if (field->kind == CFG_LIST) {
+            check_keys(field->item, page, out);
+        }
+    }
+}
+
+/* keys: keys and defaults of the schema that the manual does not have. */
+static void
+run_keys(void *ctx, int argc, char **argv, GString *out)
+{
+    char *page = NULL;
+    assert_true(g_file_get_contents(ROOT_DIR "/ctl/carobhatch-config.5.scd",
+                                    &page, NULL, NULL));
+    check_keys(&cfg_schema_document, page, out);
+    g_string_append(out, "checked");
+    g_free(page);
+}
+
 static const struct scr_command commands[] = {
+    {"keys", run_keys},
     {"example", run_example},
     {"errors", run_errors},
 };
