--- a/ctl/commands/watch.c
+++ b/ctl/commands/watch.c
@@ -142,7 +142,7 @@
 watch_poll_agents(struct watch *watch)
 {
     struct agt *agents = agt_new(watch->ctl);
-    agt_read(watch->ctl, agents, INT64_MAX, 1000);
+    agt_read(watch->ctl, agents, 1000);
     for (guint i = 0; i < watch->ctl->agent_count; i++) {
         if (agents[i].status != NULL || !watch_is_over(watch)) {
             watch_note_agent(watch, i, &agents[i]);
@@ -157,9 +157,6 @@
     struct sigaction action = {.sa_handler = watch_on_interrupt};
     (void)sigaction(SIGINT, &action, NULL);
     (void)sigaction(SIGTERM, &action, NULL);
-    if (ctl->options.timeout_ms == 0) {
-        ctl->deadline_us = INT64_MAX / 2;
-    }
     struct watch watch = {
         .ctl = ctl,
         .after = -1,
