--- a/include/relay/dispatch.h
+++ b/include/relay/dispatch.h
@@ -49,7 +49,7 @@
     bool is_order;
     bool is_settled;
     bool may_have_run;
-    int last_rc;
+    int last_rc; /* why it may have run without an answer */
     uint32_t attempt_count;
     const struct sch *tried[PCK_AVOID_MAX];
     uint32_t tried_count;
--- a/relay/cold.c
+++ b/relay/cold.c
@@ -32,7 +32,10 @@
     cold->is_cold = true;
     cold->since_us = now_us;
     cold->slow_run = 0;
-    cold->next_start_us = now_us;
+    /* Idle time that is still owed stays owed. */
+    if (cold->next_start_us < now_us) {
+        cold->next_start_us = now_us;
+    }
 }
 
 bool
@@ -125,7 +128,11 @@
 void
 cold_on_finish(struct cold *cold, int64_t started_us, int64_t now_us)
 {
-    uint32_t offered = cold_share_permille(cold, now_us) * cold->slots;
+    /* The share at the start is the least one until the next start, so that
+     * the work stays below the area under the curve. */
+    int64_t from_us =
+        started_us > cold->since_us ? started_us : cold->since_us;
+    uint32_t offered = cold_share_permille(cold, from_us) * cold->slots;
     if (offered >= COLD_FULL) {
         return;
     }
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -158,9 +158,10 @@
 static void
 job_attempt_failed(struct job *job, int rc, int64_t now_us)
 {
-    job->last_rc = rc;
+    /* Once it may have run, a later "not run" says nothing about the whole. */
     if (rc_run(rc) != RC_RUN_NO) {
         job->may_have_run = true;
+        job->last_rc = rc;
     }
     if (job_is_running(job)) {
         return;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -64,13 +64,14 @@
     return ins->state == INS_HELD && rly_has_lease(ins->rly, now_us);
 }
 
+/* The address identifies a searcher. One that was removed and still finishes
+ * requests comes back as itself: its slots and links are in use. */
 static struct sch *
 ins_searcher(const struct ins *ins, const struct cfg_searcher *declared)
 {
     for (guint i = 0; i < ins->searchers->len; i++) {
         struct sch *sch = g_ptr_array_index(ins->searchers, i);
-        if (!sch->is_removed && strcmp(sch->name, declared->name) == 0 &&
-            strcmp(sch->address, declared->address) == 0) {
+        if (strcmp(sch->address, declared->address) == 0) {
             return sch;
         }
     }
@@ -81,8 +82,7 @@
 ins_is_declared(const struct cfg_instance *instance, const struct sch *sch)
 {
     for (size_t i = 0; instance != NULL && i < instance->searcher_count; i++) {
-        if (strcmp(instance->searchers[i].name, sch->name) == 0 &&
-            strcmp(instance->searchers[i].address, sch->address) == 0) {
+        if (strcmp(instance->searchers[i].address, sch->address) == 0) {
             return true;
         }
     }
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -55,6 +55,15 @@
     cnt_add(sch->counters, "cold_starts_total", reason);
 }
 
+static void
+sch_rename(struct sch *sch, const struct cfg_searcher *searcher)
+{
+    g_free(sch->name);
+    g_free(sch->zone);
+    sch->name = g_strdup(searcher->name);
+    sch->zone = g_strdup(searcher->zone);
+}
+
 bool
 sch_configure(struct sch *sch, const struct cfg_service *service,
               const struct cfg_searcher *searcher, bool is_zone_in,
@@ -65,6 +74,8 @@
     sch->slots = (uint32_t)service->slots;
     sch->is_zone_in = is_zone_in;
     sch->is_leaving = searcher->is_leaving;
+    sch->is_removed = false;
+    sch_rename(sch, searcher);
     cold_configure(&sch->cold, (uint32_t)service->cold_share_permille,
                    service->cold_ramp_ms * 1000, sch->slots);
     lnk_pool_configure(&sch->pool, (uint32_t)service->connections, sch->slots);
