relay: count an offer's versions before the array is given up

Cause: the initialiser read the array's length after g_array_free() in an unspecified order, so OFFER could name no versions and entries answered no_relay. Change: take the length first.

--- a/relay/offer.c
+++ b/relay/offer.c
@@ -84,11 +84,12 @@
             continue;
         }
         GArray *versions = ofr_versions(ins, now_us);
+        size_t version_count = versions->len;
         struct msg_offer_instance offered = {
             .service = ins->service,
             .instance = ins->name,
             .epoch = ins->epoch,
-            .version_count = versions->len,
+            .version_count = version_count,
             .versions = (struct msg_version *)g_array_free(versions, FALSE),
         };
         g_array_append_val(out, offered);
