relay: rename wire to body; read numeric start ids from text

Cause: the stand-in's module has the same prefix, and a start id may be sent as a number in one answer and as text in another; taken for two ids, it would restart the cold curve each time. Change: rename; text that is a number is that number.

--- a/include/relay/wire.h
+++ b/include/relay/body.h
@@ -1,5 +1,5 @@
-#ifndef CH_RELAY_WIRE_H
-#define CH_RELAY_WIRE_H
+#ifndef CH_RELAY_BODY_H
+#define CH_RELAY_BODY_H
 
 #include <glib.h>
 #include <jansson.h>
@@ -13,7 +13,7 @@
 /* Bodies of requests to searchers and of their answers (JSON). */
 
 /* An answer and the memory that it points to. */
-struct wir_answer {
+struct bdy_answer {
     struct dsp_answer answer;
     json_t *root;
     GArray *hits; /* struct msg_hit */
@@ -21,25 +21,25 @@
 };
 
 /* Body of POST /search; free with free(). */
-char *wir_search_body(const struct job *job, int64_t budget_us);
+char *bdy_search_body(const struct job *job, int64_t budget_us);
 
 /* Body of POST /execute; free with free(). */
-char *wir_execute_body(const struct job *job, int64_t budget_us);
+char *bdy_execute_body(const struct job *job, int64_t budget_us);
 
 /*
  * Read the answer to a search or an order. `answer.rc` is RC_OK,
  * RC_VERSION_GONE (search only), RC_SHED when the searcher says that it did
  * not run the request, or RC_BAD_REPLY.
  */
-void wir_read_search(int http_status, const char *body, size_t body_bytes,
-                     struct wir_answer *out);
-void wir_read_execute(int http_status, const char *body, size_t body_bytes,
-                      struct wir_answer *out);
+void bdy_read_search(int http_status, const char *body, size_t body_bytes,
+                     struct bdy_answer *out);
+void bdy_read_execute(int http_status, const char *body, size_t body_bytes,
+                      struct bdy_answer *out);
 
-void wir_answer_clear(struct wir_answer *answer);
+void bdy_answer_clear(struct bdy_answer *answer);
 
 /* Reads the answer to GET /status. Returns RC_OK or RC_BAD_REPLY. */
-int wir_read_status(int http_status, const char *body, size_t body_bytes,
+int bdy_read_status(int http_status, const char *body, size_t body_bytes,
                     struct sch_status *out);
 
 #endif
--- a/relay/backend.c
+++ b/relay/backend.c
@@ -3,7 +3,7 @@
 
 #include "relay/backend.h"
 #include "relay/server.h"
-#include "relay/wire.h"
+#include "relay/body.h"
 #include "common/http_client.h"
 #include "common/rc.h"
 
@@ -50,7 +50,7 @@
         return;
     }
     struct sch_status status;
-    int rc = wir_read_status(response->status, response->body,
+    int rc = bdy_read_status(response->status, response->body,
                              response->body_bytes, &status);
     rly_on_status(ctx, rc == RC_OK ? &status : NULL, response->is_keepalive,
                   srv_now_us());
@@ -71,12 +71,12 @@
         rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
-    struct wir_answer answer;
-    wir_read_search(response->status, response->body, response->body_bytes,
+    struct bdy_answer answer;
+    bdy_read_search(response->status, response->body, response->body_bytes,
                     &answer);
     answer.answer.is_reusable = response->is_keepalive;
     rly_on_answer(ctx, &answer.answer, srv_now_us());
-    wir_answer_clear(&answer);
+    bdy_answer_clear(&answer);
 }
 
 static void
@@ -87,12 +87,12 @@
         rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
-    struct wir_answer answer;
-    wir_read_execute(response->status, response->body, response->body_bytes,
+    struct bdy_answer answer;
+    bdy_read_execute(response->status, response->body, response->body_bytes,
                      &answer);
     answer.answer.is_reusable = response->is_keepalive;
     rly_on_answer(ctx, &answer.answer, srv_now_us());
-    wir_answer_clear(&answer);
+    bdy_answer_clear(&answer);
 }
 
 static int
@@ -113,7 +113,7 @@
 bkd_search(struct lnk *link, const struct job *job, int64_t budget_us,
            void *ctx)
 {
-    return bkd_send(link, "/search", wir_search_body(job, budget_us),
+    return bkd_send(link, "/search", bdy_search_body(job, budget_us),
                     bkd_on_search);
 }
 
@@ -121,6 +121,6 @@
 bkd_execute(struct lnk *link, const struct job *job, int64_t budget_us,
             void *ctx)
 {
-    return bkd_send(link, "/execute", wir_execute_body(job, budget_us),
+    return bkd_send(link, "/execute", bdy_execute_body(job, budget_us),
                     bkd_on_executed);
 }
--- a/relay/wire.c
+++ b/relay/body.c
@@ -1,26 +1,26 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "relay/wire.h"
+#include "relay/body.h"
 #include "common/rc.h"
 
-#define WIR_HTTP_OK 200
-#define WIR_HTTP_GONE 409
-#define WIR_HTTP_SHED 503
+#define BDY_HTTP_OK 200
+#define BDY_HTTP_GONE 409
+#define BDY_HTTP_SHED 503
 
 static json_int_t
-wir_budget_ms(int64_t budget_us)
+bdy_budget_ms(int64_t budget_us)
 {
     return budget_us < 1000 ? 1 : budget_us / 1000;
 }
 
 char *
-wir_search_body(const struct job *job, int64_t budget_us)
+bdy_search_body(const struct job *job, int64_t budget_us)
 {
     json_t *root = json_pack(
         "{s:I, s:I, s:s, s:I, s:I}", "shard", (json_int_t)job->shard,
         "version", (json_int_t)job->version, "query", job->text, "limit",
-        (json_int_t)job->limit, "budget_ms", wir_budget_ms(budget_us));
+        (json_int_t)job->limit, "budget_ms", bdy_budget_ms(budget_us));
     char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
     json_decref(root);
     return text;
@@ -28,7 +28,7 @@
 
 /* The order's body as the JSON value that it is, else as a string. */
 static json_t *
-wir_order_value(const struct msg_bin *body)
+bdy_order_value(const struct msg_bin *body)
 {
     json_t *value = json_loadb(body->data, body->bytes,
                                JSON_DECODE_ANY | JSON_REJECT_DUPLICATES, NULL);
@@ -36,27 +36,37 @@
 }
 
 char *
-wir_execute_body(const struct job *job, int64_t budget_us)
+bdy_execute_body(const struct job *job, int64_t budget_us)
 {
-    json_t *value = wir_order_value(&job->body);
+    json_t *value = bdy_order_value(&job->body);
     if (value == NULL) {
         return NULL;
     }
     json_t *root = json_pack("{s:s, s:I, s:o, s:I}", "id", job->text, "shard",
                              (json_int_t)job->shard, "body", value,
-                             "budget_ms", wir_budget_ms(budget_us));
+                             "budget_ms", bdy_budget_ms(budget_us));
     char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
     json_decref(root);
     return text;
 }
 
-/* A start id is compared, never computed with: its digest is enough. */
+/* The number that a text is, or the digest of another text: a start id is
+ * compared, never computed with. */
+static uint64_t
+bdy_start_id(const char *text)
+{
+    char *end = NULL;
+    uint64_t number = g_ascii_strtoull(text, &end, 10);
+    bool is_number = g_ascii_isdigit(text[0]) && *end == '\0';
+    return is_number ? number : XXH64(text, strlen(text), 0);
+}
+
 static bool
-wir_read_start(const json_t *root, uint64_t *out)
+bdy_read_start(const json_t *root, uint64_t *out)
 {
     const json_t *start = json_object_get(root, "start");
     if (json_is_string(start)) {
-        *out = XXH64(json_string_value(start), json_string_length(start), 0);
+        *out = bdy_start_id(json_string_value(start));
         return true;
     }
     if (json_is_integer(start)) {
@@ -67,7 +77,7 @@
 }
 
 static bool
-wir_read_uint(const json_t *root, const char *name, uint64_t *out)
+bdy_read_uint(const json_t *root, const char *name, uint64_t *out)
 {
     const json_t *value = json_object_get(root, name);
     if (!json_is_integer(value) || json_integer_value(value) < 0) {
@@ -78,7 +88,7 @@
 }
 
 static bool
-wir_read_hit(const json_t *item, struct msg_hit *out)
+bdy_read_hit(const json_t *item, struct msg_hit *out)
 {
     const json_t *score = json_array_get(item, 0);
     const json_t *id = json_array_get(item, 1);
@@ -92,12 +102,12 @@
 }
 
 static int
-wir_read_result(const json_t *root, struct wir_answer *out)
+bdy_read_result(const json_t *root, struct bdy_answer *out)
 {
     struct dsp_answer *answer = &out->answer;
     const json_t *hits = json_object_get(root, "hits");
-    if (!wir_read_uint(root, "version", &answer->version) ||
-        !wir_read_uint(root, "shard", &answer->shard) ||
+    if (!bdy_read_uint(root, "version", &answer->version) ||
+        !bdy_read_uint(root, "shard", &answer->shard) ||
         !json_is_array(hits)) {
         return RC_BAD_REPLY;
     }
@@ -106,7 +116,7 @@
     json_array_foreach(hits, i, item)
     {
         struct msg_hit hit;
-        if (!wir_read_hit(item, &hit)) {
+        if (!bdy_read_hit(item, &hit)) {
             return RC_BAD_REPLY;
         }
         g_array_append_val(out->hits, hit);
@@ -118,49 +128,49 @@
 
 /* True if the searcher says that it did not run the request. */
 static bool
-wir_says_not_run(int http_status, const json_t *root)
+bdy_says_not_run(int http_status, const json_t *root)
 {
-    return http_status == WIR_HTTP_SHED &&
+    return http_status == BDY_HTTP_SHED &&
            json_is_false(json_object_get(root, "run"));
 }
 
 static void
-wir_start(struct wir_answer *out, const char *body, size_t body_bytes)
+bdy_start(struct bdy_answer *out, const char *body, size_t body_bytes)
 {
-    *out = (struct wir_answer){
+    *out = (struct bdy_answer){
         .answer = {.rc = RC_BAD_REPLY},
         .root = json_loadb(body, body_bytes, 0, NULL),
         .hits = g_array_new(FALSE, FALSE, sizeof(struct msg_hit)),
     };
-    out->answer.has_start = wir_read_start(out->root, &out->answer.start);
+    out->answer.has_start = bdy_read_start(out->root, &out->answer.start);
 }
 
 void
-wir_read_search(int http_status, const char *body, size_t body_bytes,
-                struct wir_answer *out)
+bdy_read_search(int http_status, const char *body, size_t body_bytes,
+                struct bdy_answer *out)
 {
-    wir_start(out, body, body_bytes);
-    if (http_status == WIR_HTTP_GONE) {
+    bdy_start(out, body, body_bytes);
+    if (http_status == BDY_HTTP_GONE) {
         out->answer.rc = RC_VERSION_GONE;
     }
-    else if (wir_says_not_run(http_status, out->root)) {
+    else if (bdy_says_not_run(http_status, out->root)) {
         out->answer.rc = RC_SHED;
     }
-    else if (http_status == WIR_HTTP_OK) {
-        out->answer.rc = wir_read_result(out->root, out);
+    else if (http_status == BDY_HTTP_OK) {
+        out->answer.rc = bdy_read_result(out->root, out);
     }
 }
 
 void
-wir_read_execute(int http_status, const char *body, size_t body_bytes,
-                 struct wir_answer *out)
+bdy_read_execute(int http_status, const char *body, size_t body_bytes,
+                 struct bdy_answer *out)
 {
-    wir_start(out, body, body_bytes);
+    bdy_start(out, body, body_bytes);
     const json_t *result = json_object_get(out->root, "result");
-    if (wir_says_not_run(http_status, out->root)) {
+    if (bdy_says_not_run(http_status, out->root)) {
         out->answer.rc = RC_SHED;
     }
-    else if (http_status == WIR_HTTP_OK && result != NULL) {
+    else if (http_status == BDY_HTTP_OK && result != NULL) {
         out->result = json_dumps(result, JSON_COMPACT | JSON_ENCODE_ANY);
         out->answer.result = out->result;
         out->answer.result_bytes = strlen(out->result);
@@ -169,7 +179,7 @@
 }
 
 void
-wir_answer_clear(struct wir_answer *answer)
+bdy_answer_clear(struct bdy_answer *answer)
 {
     g_array_free(answer->hits, TRUE);
     json_decref(answer->root);
@@ -177,16 +187,16 @@
 }
 
 static bool
-wir_read_versions(const json_t *versions, struct sch_status *out)
+bdy_read_versions(const json_t *versions, struct sch_status *out)
 {
     size_t i = 0;
     const json_t *item = NULL;
     json_array_foreach(versions, i, item)
     {
         struct msg_version version;
-        if (!wir_read_uint(item, "version", &version.version) ||
-            !wir_read_uint(item, "shard", &version.shard) ||
-            !wir_read_uint(item, "shards", &version.shards) ||
+        if (!bdy_read_uint(item, "version", &version.version) ||
+            !bdy_read_uint(item, "shard", &version.shard) ||
+            !bdy_read_uint(item, "shards", &version.shards) ||
             version.shard >= version.shards) {
             return false;
         }
@@ -199,15 +209,15 @@
 }
 
 int
-wir_read_status(int http_status, const char *body, size_t body_bytes,
+bdy_read_status(int http_status, const char *body, size_t body_bytes,
                 struct sch_status *out)
 {
     *out = (struct sch_status){.start = 0};
     json_t *root = json_loadb(body, body_bytes, 0, NULL);
     const json_t *versions = json_object_get(root, "versions");
-    bool is_good = http_status == WIR_HTTP_OK &&
-                   wir_read_start(root, &out->start) &&
-                   json_is_array(versions) && wir_read_versions(versions, out);
+    bool is_good = http_status == BDY_HTTP_OK &&
+                   bdy_read_start(root, &out->start) &&
+                   json_is_array(versions) && bdy_read_versions(versions, out);
     out->is_draining = json_is_true(json_object_get(root, "draining"));
     json_decref(root);
     return is_good ? RC_OK : RC_BAD_REPLY;
