--- a/entry/gather.c
+++ b/entry/gather.c
@@ -41,6 +41,7 @@
 };
 
 struct gth_query {
+    uint64_t serial;
     char *service;
     char *text;
     char *key;
@@ -65,9 +66,11 @@
     struct pln *plan;
     struct cnt_set *counters;
     struct gth_callbacks callbacks;
-    GHashTable *queries; /* set of struct gth_query */
+    GHashTable *queries; /* serial -> struct gth_query, so that the order of
+                          * walking does not depend on addresses */
     GHashTable *sent;    /* qid -> struct gth_sent */
     struct bgt restarts;
+    uint64_t last_serial;
     uint64_t mark;
 };
 
@@ -106,8 +109,8 @@
     gth->plan = plan;
     gth->counters = counters;
     gth->callbacks = *callbacks;
-    gth->queries = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-                                         gth_query_free, NULL);
+    gth->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                         gth_query_free);
     gth->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                       gth_sent_free);
     bgt_init(&gth->restarts, GTH_RESTART_PERMILLE, GTH_RESTART_BURST);
@@ -457,7 +460,7 @@
     }
     gth->callbacks.finish(gth->callbacks.ctx, query->ctx, &answer);
     g_array_free(missing, TRUE);
-    g_hash_table_remove(gth->queries, query);
+    g_hash_table_remove(gth->queries, &query->serial);
 }
 
 /* Ends the query if nothing more can be gained. Returns true if it ended. */
@@ -505,7 +508,8 @@
     query->ctx = request->ctx;
     query->hits = g_array_new(FALSE, FALSE, sizeof(struct gth_hit));
     g_array_set_clear_func(query->hits, gth_hit_clear);
-    g_hash_table_add(gth->queries, query);
+    query->serial = ++gth->last_serial;
+    g_hash_table_insert(gth->queries, &query->serial, query);
     bgt_earn(&gth->restarts);
     cnt_add(gth->counters, "search_total", NULL);
     if (now_us < query->deadline_us) {
@@ -517,10 +521,10 @@
 void
 gth_abandon(struct gth *gth, struct gth_query *query)
 {
-    CH_INVARIANT(g_hash_table_contains(gth->queries, query));
+    CH_INVARIANT(g_hash_table_contains(gth->queries, &query->serial));
     gth_cancel_sent(gth, query);
     cnt_add(gth->counters, "search_failed_total", rc_name(RC_CANCELLED));
-    g_hash_table_remove(gth->queries, query);
+    g_hash_table_remove(gth->queries, &query->serial);
 }
 
 static bool
@@ -681,7 +685,7 @@
     GHashTableIter iter;
     gpointer query = NULL;
     g_hash_table_iter_init(&iter, gth->queries);
-    while (g_hash_table_iter_next(&iter, &query, NULL)) {
+    while (g_hash_table_iter_next(&iter, NULL, &query)) {
         g_ptr_array_add(queries, query);
     }
     return queries;
@@ -737,10 +741,10 @@
 {
     int64_t due_us = INT64_MAX;
     GHashTableIter iter;
-    gpointer key = NULL;
+    gpointer value = NULL;
     g_hash_table_iter_init(&iter, gth->queries);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        const struct gth_query *query = key;
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct gth_query *query = value;
         due_us = MIN(due_us, query->deadline_us);
         if (query->retry_us != 0) {
             due_us = MIN(due_us, query->retry_us);
