common: notice callers that close a waiting HTTP connection

Cause: h2o does not read from an HTTP/1 connection while a request is handled, so on_gone was not called before the answer was written. A search of a caller that had gone ran on at the relays until its deadline.

Change: while requests wait, the server checks every 20 ms whether their connections were closed by the other side.

Measured: the new test fails without the change (on_gone not called within 1 s) and passes with it.

Conclusion: a caller that closes only its sending side counts as gone.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -1,7 +1,9 @@
 #include <uv.h>
 #include <h2o.h>
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "common/http_server.h"
 #include "common/log.h"
@@ -12,8 +14,13 @@
 /* Callers keep connections open between requests; h2o closes idle ones. */
 #define HSV_IDLE_TIMEOUT_MS (60ULL * 1000)
 
+/* How often connections with a waiting request are checked for their end. */
+#define HSV_GONE_CHECK_MS 20
+
 struct hsv_server {
     uv_tcp_t listener;
+    uv_timer_t gone_timer;
+    GQueue waiting; /* of struct hsv_slot without an answer */
     h2o_globalconf_t config;
     h2o_context_t context;
     h2o_accept_ctx_t accept_ctx;
@@ -26,6 +33,8 @@
 /* Owns a request until it is both answered and gone from h2o. */
 struct hsv_slot {
     struct hsv_request request;
+    struct hsv_server *server;
+    GList link; /* in server->waiting */
     h2o_req_t *h2o;
     char *method;
     char *path;
@@ -55,6 +64,17 @@
     g_free(slot);
 }
 
+/* Tells the handler once that the caller went away. */
+static void
+hsv_tell_gone(struct hsv_slot *slot)
+{
+    void (*on_gone)(struct hsv_request *, void *) = slot->request.on_gone;
+    slot->request.on_gone = NULL;
+    if (on_gone != NULL) {
+        on_gone(&slot->request, slot->request.ctx);
+    }
+}
+
 static void
 hsv_on_request_disposed(void *data)
 {
@@ -63,8 +83,62 @@
     if (slot->is_answered) {
         hsv_slot_free(slot);
     }
-    else if (slot->request.on_gone != NULL) {
-        slot->request.on_gone(&slot->request, slot->request.ctx);
+    else {
+        g_queue_unlink(&slot->server->waiting, &slot->link);
+        hsv_tell_gone(slot);
+    }
+}
+
+/* Whether the caller of a waiting request has closed its connection. */
+static int
+hsv_is_gone(const struct hsv_slot *slot)
+{
+    h2o_conn_t *conn = slot->h2o->conn;
+    int fd = h2o_socket_get_fd(conn->callbacks->get_socket(conn));
+    char byte = 0;
+    ssize_t count = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static struct hsv_slot *
+hsv_find_gone(const struct hsv_server *server)
+{
+    for (GList *item = server->waiting.head; item != NULL; item = item->next) {
+        struct hsv_slot *slot = item->data;
+        if (slot->request.on_gone != NULL && hsv_is_gone(slot)) {
+            return slot;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * h2o does not read from an HTTP/1 connection while a request is handled, so
+ * it does not see that the caller closed it.
+ */
+static void
+hsv_on_gone_check(uv_timer_t *timer)
+{
+    struct hsv_server *server = timer->data;
+    struct hsv_slot *slot = hsv_find_gone(server);
+    while (slot != NULL) {
+        hsv_tell_gone(slot);
+        slot = hsv_find_gone(server);
+    }
+    if (g_queue_is_empty(&server->waiting)) {
+        uv_timer_stop(timer);
+    }
+}
+
+static void
+hsv_wait(struct hsv_slot *slot)
+{
+    struct hsv_server *server = slot->server;
+    slot->link.data = slot;
+    g_queue_push_tail_link(&server->waiting, &slot->link);
+    if (!uv_is_active((uv_handle_t *)&server->gone_timer)) {
+        uv_timer_start(&server->gone_timer, hsv_on_gone_check,
+                       HSV_GONE_CHECK_MS, HSV_GONE_CHECK_MS);
     }
 }
 
@@ -84,6 +158,7 @@
         slot->query = g_strndup(req->path.base + req->query_at + 1,
                                 req->path.len - req->query_at - 1);
     }
+    slot->server = server;
     slot->h2o = req;
     slot->method = g_strndup(req->method.base, req->method.len);
     slot->path = g_strndup(req->path.base, path_bytes);
@@ -96,6 +171,7 @@
         .body = slot->body,
         .body_bytes = req->entity.len,
     };
+    hsv_wait(slot);
     server->handler(&slot->request, server->ctx);
     return 0;
 }
@@ -147,6 +223,7 @@
         hsv_slot_free(slot);
         return;
     }
+    g_queue_unlink(&slot->server->waiting, &slot->link);
     h2o_req_t *req = slot->h2o;
     req->res.status = status;
     req->res.reason = status < 400 ? "OK" : "Error";
@@ -214,6 +291,10 @@
     h2o_context_init(&server->context, loop, &server->config);
     server->accept_ctx.ctx = &server->context;
     server->accept_ctx.hosts = server->config.hosts;
+    uv_timer_init(loop, &server->gone_timer);
+    uv_unref((uv_handle_t *)&server->gone_timer);
+    server->gone_timer.data = server;
+    g_queue_init(&server->waiting);
     uv_tcp_init(loop, &server->listener);
     server->listener.data = server;
     int failed =
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -15,8 +15,9 @@
     const char *query; /* after '?', "" if there is none */
     const char *body;
     size_t body_bytes;
-    /* Set by the handler to learn that the caller went away; the request may
-     * still be answered, to no effect. */
+    /* Set by the handler to learn, within some 20 ms, that the caller closed
+     * the connection or its sending side; the request must still be answered,
+     * to no effect. Called at most once. */
     void (*on_gone)(struct hsv_request *request, void *ctx);
     void *ctx;
 };
--- /dev/null
+++ b/tests/entry/test_gone.c
@@ -0,0 +1,98 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/http_server.h"
+#include "common/net.h"
+#include "common/rc.h"
+
+#define ADDRESS "127.0.0.1:32690"
+#define TEXT "GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+struct gone_test {
+    uv_loop_t loop;
+    uv_timer_t timer;
+    struct hsv_request *waiting;
+    int client;
+    int gone_count;
+    int answered_count;
+};
+
+static void
+on_gone(struct hsv_request *request, void *ctx)
+{
+    struct gone_test *test = ctx;
+    test->gone_count += 1;
+    hsv_respond(request, 499, "text/plain", "", 0);
+    uv_stop(&test->loop);
+}
+
+/* The first request is answered, the second one waits. */
+static void
+on_request(struct hsv_request *request, void *ctx)
+{
+    struct gone_test *test = ctx;
+    if (test->answered_count == 0) {
+        test->answered_count += 1;
+        hsv_respond(request, 200, "text/plain", "ok", 2);
+        return;
+    }
+    request->on_gone = on_gone;
+    request->ctx = test;
+    close(test->client);
+}
+
+static void
+on_timeout(uv_timer_t *timer)
+{
+    uv_stop(timer->loop);
+}
+
+/*
+ * Guards against work that goes on for callers who closed their connection:
+ * the handler of a waiting request must be told within 1 s, once.
+ */
+static void
+test_gone(void **state)
+{
+    static struct gone_test test;
+    struct hsv_server *server = NULL;
+    struct sockaddr_in address;
+    /* As the programs do: the answer may meet a closed connection. */
+    (void)signal(SIGPIPE, SIG_IGN);
+    uv_loop_init(&test.loop);
+    assert_int_equal(
+        hsv_open(&test.loop, ADDRESS, 1024, on_request, &test, &server),
+        RC_OK);
+    assert_int_equal(net_parse(ADDRESS, &address), RC_OK);
+    test.client = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(
+        connect(test.client, (struct sockaddr *)&address, sizeof(address)), 0);
+    assert_int_equal(write(test.client, TEXT TEXT, strlen(TEXT TEXT)),
+                     strlen(TEXT TEXT));
+    uv_timer_init(&test.loop, &test.timer);
+    uv_timer_start(&test.timer, on_timeout, 1000, 0);
+    uv_run(&test.loop, UV_RUN_DEFAULT);
+    assert_int_equal(test.answered_count, 1);
+    assert_int_equal(test.gone_count, 1);
+    /* The server lets go of the connection by itself. */
+    uv_timer_start(&test.timer, on_timeout, 100, 0);
+    uv_run(&test.loop, UV_RUN_DEFAULT);
+    assert_int_equal(hsv_connection_count(server), 0);
+    assert_int_equal(test.gone_count, 1);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_gone),
+    };
+    return cmocka_run_group_tests_name("gone", tests, NULL, NULL);
+}
