--- a/relay/dedup.c
+++ b/relay/dedup.c
@@ -8,7 +8,7 @@
     char *id;
     int64_t taken_us;
     bool is_running;
-    bool is_forgotten; /* waits in by_age for its turn to be freed */
+    GList *age; /* its place in by_age */
 };
 
 static void
@@ -41,14 +41,9 @@
 ddp_expire(struct ddp *dedup, int64_t now_us)
 {
     struct ddp_entry *entry = g_queue_peek_head(dedup->by_age);
-    while (entry != NULL) {
-        bool is_old = now_us - entry->taken_us > dedup->keep_us;
-        if (!entry->is_forgotten && (entry->is_running || !is_old)) {
-            break;
-        }
-        if (!entry->is_forgotten) {
-            g_hash_table_remove(dedup->by_id, entry->id);
-        }
+    while (entry != NULL && !entry->is_running &&
+           now_us - entry->taken_us > dedup->keep_us) {
+        g_hash_table_remove(dedup->by_id, entry->id);
         ddp_entry_free(g_queue_pop_head(dedup->by_age));
         entry = g_queue_peek_head(dedup->by_age);
     }
@@ -62,7 +57,7 @@
     if (seen != NULL) {
         return seen->is_running ? RC_RUNNING : RC_OUTCOME_UNKNOWN;
     }
-    if (g_queue_get_length(dedup->by_age) >= dedup->max) {
+    if (g_hash_table_size(dedup->by_id) >= dedup->max) {
         return RC_QUEUE_FULL;
     }
     struct ddp_entry *entry = g_new0(struct ddp_entry, 1);
@@ -71,6 +66,7 @@
     entry->is_running = true;
     g_hash_table_insert(dedup->by_id, entry->id, entry);
     g_queue_push_tail(dedup->by_age, entry);
+    entry->age = g_queue_peek_tail_link(dedup->by_age);
     return RC_OK;
 }
 
@@ -88,7 +84,8 @@
     struct ddp_entry *entry = g_hash_table_lookup(dedup->by_id, id);
     CH_INVARIANT(entry != NULL && entry->is_running);
     g_hash_table_remove(dedup->by_id, id);
-    entry->is_forgotten = true;
+    g_queue_delete_link(dedup->by_age, entry->age);
+    ddp_entry_free(entry);
 }
 
 uint32_t
--- a/relay/link.c
+++ b/relay/link.c
@@ -78,6 +78,10 @@
 static void
 lnk_back_off(struct lnk_pool *pool, int64_t now_us)
 {
+    /* Links that fail together count once. */
+    if (now_us < pool->retry_at_us) {
+        return;
+    }
     pool->backoff_us =
         CLAMP(pool->backoff_us * 2, LNK_BACKOFF_MIN_US, LNK_BACKOFF_MAX_US);
     pool->retry_at_us = now_us + pool->backoff_us;
