--- a/tests/agent/soak_agent.c
+++ b/tests/agent/soak_agent.c
@@ -19,7 +19,7 @@
  * same time, a revision that decreases, a document adopted in part, and a
  * system that does not recover once the faults end.
  *
- * Usage: soak_agent SEED STEPS [faults|outage]
+ * Usage: soak_agent SEED STEPS [faults|cells|outage]
  */
 
 #define AGENTS 7
@@ -154,6 +154,7 @@
     int64_t step;
     int64_t steps;
     bool has_faults;
+    bool is_cells; /* members of the cell change all the time */
     struct agent agents[AGENTS];
     bool is_blocked[AGENTS][AGENTS];
     int64_t blocked_until_us;
@@ -851,9 +852,10 @@
 agent_change_cell(struct agent *agent)
 {
     struct sim *sim = agent->sim;
-    bool is_wanted = !lse_is_member(agent->lease, agent->name) ||
-                     (lse_is_valid(agent->lease, agent_now(agent)) &&
-                      sim_fault(sim, FAULT_CELL_CHANGE, 200));
+    bool is_wanted =
+        !lse_is_member(agent->lease, agent->name) ||
+        (lse_is_valid(agent->lease, agent_now(agent)) &&
+         sim_fault(sim, FAULT_CELL_CHANGE, sim->is_cells ? 100000 : 200));
     if (!is_wanted || !lse_cell_may_change(agent->lease, agent_now(agent))) {
         return;
     }
@@ -1089,7 +1091,7 @@
     if (sim_fault(sim, FAULT_PAUSE, 80)) {
         agent->paused_us = sim->now_us + 100000 + sim_random(sim, 5000000);
     }
-    else if (sim_fault(sim, FAULT_RESTART, 60)) {
+    else if (sim_fault(sim, FAULT_RESTART, sim->is_cells ? 200 : 60)) {
         agent_end(agent, sim_random(sim, 4000000));
     }
     else if (!agent->is_leaving && sim_fault(sim, FAULT_STOP, 30)) {
@@ -1105,7 +1107,8 @@
     sim->loss_permille = (sim->now_us / 20000000) % 2 == 0 ? 5 : 100;
     if (sim->now_us >= sim->blocked_until_us) {
         memset(sim->is_blocked, 0, sizeof(sim->is_blocked));
-        if (sim->has_faults && sim_random(sim, 1500) == 0) {
+        if (sim->has_faults &&
+            sim_random(sim, sim->is_cells ? 200 : 1500) == 0) {
             sim_partition(sim);
         }
     }
@@ -1281,15 +1284,16 @@
 {
     if (argc < 3) {
         (void)fprintf(stderr,
-                      "usage: soak_agent SEED STEPS [faults|outage]\n");
+                      "usage: soak_agent SEED STEPS [faults|cells|outage]\n");
         return 2;
     }
-    bool is_outage = argc > 3 && strcmp(argv[3], "outage") == 0;
+    const char *mode = argc > 3 ? argv[3] : "faults";
+    bool is_outage = strcmp(mode, "outage") == 0;
     uint32_t seed = (uint32_t)g_ascii_strtoull(argv[1], NULL, 10);
-    printf("repeat with: soak_agent %s %s %s\n", argv[1], argv[2],
-           is_outage ? "outage" : "faults");
+    printf("repeat with: soak_agent %s %s %s\n", argv[1], argv[2], mode);
     (void)fflush(stdout);
     struct sim *sim = g_new0(struct sim, 1);
+    sim->is_cells = strcmp(mode, "cells") == 0;
     sim->steps = g_ascii_strtoll(argv[2], NULL, 10);
     sim_open(sim, seed, is_outage ? OUTAGE_STEP_US : FAULT_STEP_US);
     if (is_outage) {
