--- a/agent/store.c
+++ b/agent/store.c
@@ -90,13 +90,19 @@
 }
 
 static void
-sto_conn_close(struct sto_conn *conn)
+sto_conn_free(struct sto_conn *conn)
 {
     hcl_close(conn->http);
-    g_ptr_array_remove_fast(conn->store->conns, conn);
     g_free(conn);
 }
 
+static void
+sto_conn_close(struct sto_conn *conn)
+{
+    g_ptr_array_remove_fast(conn->store->conns, conn);
+    sto_conn_free(conn);
+}
+
 static int
 sto_rc_of_status(int status)
 {
@@ -421,9 +427,9 @@
     }
     store->is_closed = true;
     while (store->conns->len > 0) {
-        struct sto_conn *conn = g_ptr_array_index(store->conns, 0);
+        struct sto_conn *conn = g_ptr_array_steal_index_fast(store->conns, 0);
         struct sto_call *call = conn->call;
-        sto_conn_close(conn);
+        sto_conn_free(conn);
         if (call != NULL) {
             sto_finish(store, call, RC_STORE_DOWN, NULL);
         }
