--- a/agent/store.c
+++ b/agent/store.c
@@ -426,14 +426,15 @@
         return;
     }
     store->is_closed = true;
-    while (store->conns->len > 0) {
-        struct sto_conn *conn = g_ptr_array_steal_index_fast(store->conns, 0);
+    for (guint i = 0; i < store->conns->len; i++) {
+        struct sto_conn *conn = g_ptr_array_index(store->conns, i);
         struct sto_call *call = conn->call;
         sto_conn_free(conn);
         if (call != NULL) {
             sto_finish(store, call, RC_STORE_DOWN, NULL);
         }
     }
+    g_ptr_array_set_size(store->conns, 0);
     while (!g_queue_is_empty(store->queue)) {
         sto_finish(store, g_queue_pop_head(store->queue), RC_STORE_DOWN, NULL);
     }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -98,6 +99,8 @@
 int
 main(int argc, char **argv)
 {
+    /* A peer may close its end at any time. */
+    (void)signal(SIGPIPE, SIG_IGN);
     struct ctl ctl = {.result = json_object()};
     char *summary = main_summary();
     enum ctl_exit code = CTL_USAGE;
--- a/load/main.c
+++ b/load/main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include "common/rc.h"
 #include "load/load.h"
 #include "standin/run.h"
@@ -5,6 +6,8 @@
 int
 main(int argc, char **argv)
 {
+    /* A peer may close its end at any time. */
+    (void)signal(SIGPIPE, SIG_IGN);
     static struct load_options options;
     if (load_options_parse(&options, argc, argv) != RC_OK) {
         return 2;
--- a/standin/searcher_main.c
+++ b/standin/searcher_main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <inttypes.h>
 
 #include "common/log.h"
@@ -8,6 +9,8 @@
 int
 main(int argc, char **argv)
 {
+    /* A peer may close its end at any time. */
+    (void)signal(SIGPIPE, SIG_IGN);
     /* Static, so that what they own counts as in use at exit. */
     static struct fle_options options;
     if (fle_options_parse(&options, argc, argv) != RC_OK ||
--- a/standin/store_main.c
+++ b/standin/store_main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include "common/log.h"
 #include "common/rc.h"
 #include "standin/run.h"
@@ -6,6 +7,8 @@
 int
 main(int argc, char **argv)
 {
+    /* A peer may close its end at any time. */
+    (void)signal(SIGPIPE, SIG_IGN);
     /* Static, so that what they own counts as in use at exit. */
     static struct sto_options options;
     if (sto_options_parse(&options, argc, argv) != RC_OK ||
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -269,6 +270,8 @@
 int
 main(void)
 {
+    /* A peer may close its end at any time. */
+    (void)signal(SIGPIPE, SIG_IGN);
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_ctl),
     };
