relay: never send an order again after an unreadable answer

Cause: an answer above the body limit ended the link with RC_TOO_LARGE, whose 'not run' is meant for requests of callers. An order that had run was sent to the other searcher. Change: only a link that failed before sending, a shed and (for searches) a version that is gone count as 'not run'; any other code of a lost link counts as a bad reply. The soak test now cuts answers with this code as well. The options are freed at the end.

--- a/include/relay/options.h
+++ b/include/relay/options.h
@@ -14,4 +14,6 @@
 /* Reads flags and environment. Returns RC_OK or RC_USAGE. */
 int relay_options_parse(struct relay_options *options, int argc, char **argv);
 
+void relay_options_clear(struct relay_options *options);
+
 #endif
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -160,7 +160,10 @@
 job_attempt_failed(struct job *job, int rc, int64_t now_us)
 {
     /* Once it may have run, a later "not run" says nothing about the whole. */
-    if (rc_run(rc) != RC_RUN_NO) {
+    bool is_not_run = rc == RC_LINK_FAILED || rc == RC_SHED ||
+                      (rc == RC_VERSION_GONE && !job->is_order);
+    if (!is_not_run) {
+        CH_INVARIANT(rc_run(rc) != RC_RUN_NO);
         job->may_have_run = true;
         job->last_rc = rc;
     }
@@ -374,7 +377,10 @@
     bool is_unsent = rc == RC_LINK_FAILED;
     att_end(att, is_unsent ? SCH_UNSENT : SCH_FAILED, now_us);
     lnk_on_lost(link, rc_name(rc), now_us);
-    job_attempt_failed(job, rc, now_us);
+    /* Codes such as RC_TOO_LARGE say "not run" of a request, not of one whose
+     * answer had this fault. */
+    bool has_run = !is_unsent && rc_run(rc) == RC_RUN_NO;
+    job_attempt_failed(job, has_run ? RC_BAD_REPLY : rc, now_us);
     dsp_pump(ins, now_us);
 }
 
--- a/relay/main.c
+++ b/relay/main.c
@@ -15,5 +15,6 @@
     }
     int rc = srv_run(&options);
     log_close();
+    relay_options_clear(&options);
     return rc == RC_OK ? 0 : 1;
 }
--- a/relay/options.c
+++ b/relay/options.c
@@ -50,3 +50,14 @@
     return opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
                      "carobhatch relay");
 }
+
+void
+relay_options_clear(struct relay_options *options)
+{
+    g_free(options->machine);
+    g_free(options->zone);
+    g_free(options->listen);
+    g_free(options->http_listen);
+    g_free(options->agent);
+    g_free(options->log_level);
+}
--- a/tests/relay/soak_relay.c
+++ b/tests/relay/soak_relay.c
@@ -63,44 +63,17 @@
     FAULT_remove,
     FAULT_old_state,
     FAULT_old_config,
-    FAULT_COUNT,
+    FAULT_COUNT
 };
 
-static const char *const fault_names[FAULT_COUNT] = {
-    [FAULT_crash] = "crash",
-    [FAULT_restart] = "restart",
-    [FAULT_silent_link] = "silent_link",
-    [FAULT_silent_searcher] = "silent_searcher",
-    [FAULT_unsilence] = "unsilence",
-    [FAULT_turn_cold] = "turn_cold",
-    [FAULT_rollout] = "rollout",
-    [FAULT_drop_version] = "drop_version",
-    [FAULT_drain] = "drain",
-    [FAULT_zone] = "zone",
-    [FAULT_leave] = "leave",
-    [FAULT_limits] = "limits",
-    [FAULT_lease_lost] = "lease_lost",
-    [FAULT_move_away] = "move_away",
-    [FAULT_come_back] = "come_back",
-    [FAULT_takeover] = "takeover",
-    [FAULT_pause] = "pause",
-    [FAULT_hello] = "hello",
-    [FAULT_straggler] = "straggler",
-    [FAULT_shed] = "shed",
-    [FAULT_gone] = "gone",
-    [FAULT_other_version] = "other_version",
-    [FAULT_other_shard] = "other_shard",
-    [FAULT_garbage] = "garbage",
-    [FAULT_cut] = "cut",
-    [FAULT_refuse_connect] = "refuse_connect",
-    [FAULT_refuse_send] = "refuse_send",
-    [FAULT_cancel] = "cancel",
-    [FAULT_duplicate_exec] = "duplicate_exec",
-    [FAULT_duplicate_query] = "duplicate_query",
-    [FAULT_remove] = "remove",
-    [FAULT_old_state] = "old_state",
-    [FAULT_old_config] = "old_config",
-};
+/* In the order of enum fault. */
+static const char fault_names[] =
+    "crash restart silent_link silent_searcher unsilence turn_cold "
+    "rollout drop_version drain zone leave limits "
+    "lease_lost move_away come_back takeover pause hello "
+    "straggler shed gone other_version other_shard garbage "
+    "cut refuse_connect refuse_send cancel duplicate_exec duplicate_query "
+    "remove old_state old_config";
 
 enum event_kind { EV_CONNECT, EV_ARRIVE, EV_ANSWER, EV_CLOSE_SEEN };
 
@@ -397,6 +370,17 @@
     return RC_OK;
 }
 
+/* The request ended as the relay sees it. */
+static void
+relay_done(const struct sim *sim, const struct sim_request *request)
+{
+    struct sim_searcher *at = request->at;
+    at->relay_running -= 1;
+    if (request->started_us >= at->told_us) {
+        at->cold_busy_us += sim->now_us - request->started_us;
+    }
+}
+
 static void
 sim_close(struct lnk *link, void *ctx)
 {
@@ -407,10 +391,7 @@
     closed->link = NULL;
     closed->request = NULL;
     if (request != NULL && !request->is_probe) {
-        closed->at->relay_running -= 1;
-        if (request->started_us >= closed->at->told_us) {
-            closed->at->cold_busy_us += sim->now_us - request->started_us;
-        }
+        relay_done(sim, request);
         /* Another link's request may overtake the close. */
         event_add(sim, pick(sim, 2000), EV_CLOSE_SEEN, closed, request);
     }
@@ -586,7 +567,8 @@
 on_reply(struct sim *sim, const struct zsk_peer *peer,
          const struct msg_reply *reply)
 {
-    struct sim_query *query = g_hash_table_lookup(sim->queries, &reply->qid);
+    struct sim_query *query =
+        g_hash_table_lookup(sim->queries, GSIZE_TO_POINTER(reply->qid));
     CHECK(query != NULL); /* neither unknown nor a second reply */
     CHECK(memcmp(peer, &query->peer, sizeof(*peer)) == 0);
     CHECK(reply->version == query->version);
@@ -595,13 +577,14 @@
     sim->done += reply->done_count;
     sim->missing += reply->missing_count;
     sim->complete += reply->missing_count == 0;
-    g_hash_table_remove(sim->queries, &reply->qid);
+    g_hash_table_remove(sim->queries, GSIZE_TO_POINTER(reply->qid));
 }
 
 static void
 on_exec_reply(struct sim *sim, const struct msg_exec_reply *reply)
 {
-    struct sim_exec *exec = g_hash_table_lookup(sim->execs, &reply->qid);
+    struct sim_exec *exec =
+        g_hash_table_lookup(sim->execs, GSIZE_TO_POINTER(reply->qid));
     CHECK(exec != NULL);
     struct sim_order *order = g_hash_table_lookup(sim->orders, exec->id);
     order->open_execs -= 1;
@@ -616,7 +599,7 @@
         CHECK(reply->body.bytes == strlen(exec->id));
         CHECK(memcmp(reply->body.data, exec->id, reply->body.bytes) == 0);
     }
-    g_hash_table_remove(sim->execs, &reply->qid);
+    g_hash_table_remove(sim->execs, GSIZE_TO_POINTER(reply->qid));
 }
 
 static void
@@ -753,7 +736,8 @@
 run_search(struct sim *sim, const struct sim_request *request)
 {
     uint64_t qid = g_ascii_strtoull(request->id, NULL, 10);
-    struct sim_query *query = g_hash_table_lookup(sim->queries, &qid);
+    struct sim_query *query =
+        g_hash_table_lookup(sim->queries, GSIZE_TO_POINTER(qid));
     if (query == NULL || request->rc == RC_SHED ||
         request->rc == RC_VERSION_GONE) {
         return;
@@ -870,14 +854,13 @@
     }
     bool is_cut = request->fault == FAULT_cut;
     if (!request->is_probe) {
-        at->relay_running -= 1;
-        if (request->started_us >= at->told_us) {
-            at->cold_busy_us += sim->now_us - request->started_us;
-        }
+        relay_done(sim, request);
     }
     link->request = NULL;
     if (is_cut) {
-        rly_on_lost(link->link, RC_LINK_LOST, sim->now_us);
+        /* The request ran, whatever its answer looked like. */
+        static const int codes[] = {RC_LINK_LOST, RC_TOO_LARGE, RC_BAD_REPLY};
+        rly_on_lost(link->link, codes[pick(sim, 3)], sim->now_us);
         return;
     }
     link->answered_us = sim->now_us;
@@ -1080,14 +1063,6 @@
     rly_on_entry(sim->rly, &from, &msg, sim->now_us);
 }
 
-static uint64_t *
-key_of(uint64_t qid)
-{
-    uint64_t *key = g_new(uint64_t, 1);
-    *key = qid;
-    return key;
-}
-
 static void
 send_query(struct sim *sim, int service, uint64_t version, int64_t budget_us)
 {
@@ -1109,7 +1084,7 @@
             query->shards[query->shard_count++] = shard;
         }
     }
-    g_hash_table_insert(sim->queries, key_of(query->qid), query);
+    g_hash_table_insert(sim->queries, GSIZE_TO_POINTER(query->qid), query);
     char text[24];
     (void)snprintf(text, sizeof(text), "%" PRIu64, query->qid);
     struct msg_query message = {
@@ -1123,13 +1098,13 @@
         .part_count = (size_t)query->shard_count,
     };
     to_relay(sim, peer, MSG_QUERY, &message);
-    if (g_hash_table_contains(sim->queries, &message.qid)) {
+    if (g_hash_table_contains(sim->queries, GSIZE_TO_POINTER(message.qid))) {
         if (inject(sim, FAULT_duplicate_query, 50)) {
             to_relay(sim, peer, MSG_QUERY, &message);
         }
         if (inject(sim, FAULT_cancel, 100)) {
             struct msg_cancel cancel = {.qid = message.qid};
-            g_hash_table_remove(sim->queries, &message.qid);
+            g_hash_table_remove(sim->queries, GSIZE_TO_POINTER(message.qid));
             to_relay(sim, peer, MSG_CANCEL, &cancel);
         }
     }
@@ -1158,7 +1133,7 @@
         .budget_us = budget_us,
         .body = {.data = "{}", .bytes = 2},
     };
-    g_hash_table_insert(sim->execs, key_of(message.qid), exec);
+    g_hash_table_insert(sim->execs, GSIZE_TO_POINTER(message.qid), exec);
     to_relay(sim, pick(sim, 2), MSG_EXEC, &message);
 }
 
@@ -1214,10 +1189,7 @@
             continue;
         }
         if (link->request != NULL && !link->request->is_probe) {
-            at->relay_running -= 1;
-            if (link->request->started_us >= at->told_us) {
-                at->cold_busy_us += sim->now_us - link->request->started_us;
-            }
+            relay_done(sim, link->request);
         }
         link->request = NULL;
         rly_on_lost(link->link, RC_LINK_LOST, sim->now_us);
@@ -1548,10 +1520,8 @@
     sim->events = g_sequence_new(g_free);
     sim->links = g_ptr_array_new_with_free_func(g_free);
     sim->requests = g_ptr_array_new_with_free_func(request_free);
-    sim->queries =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    sim->execs =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, exec_free);
+    sim->queries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    sim->execs = g_hash_table_new_full(NULL, NULL, NULL, exec_free);
     sim->orders =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sim->version = 5;
@@ -1608,9 +1578,11 @@
                  sim->seed, sim->steps, sim->decisions,
                  (int64_t)(sim->now_us / SEC - 100), sim->done, sim->missing,
                  sim->ran);
+    char **names = g_strsplit(fault_names, " ", -1);
     for (int i = 0; i < FAULT_COUNT; i++) {
-        (void)printf(" %s=%" PRIu64, fault_names[i], sim->faults[i]);
+        (void)printf(" %s=%" PRIu64, names[i], sim->faults[i]);
     }
+    g_strfreev(names);
     GString *text = g_string_new(NULL);
     cnt_render(sim->counters, text);
     (void)printf("\n%s", text->str);
--- a/tests/relay/test_core.c
+++ b/tests/relay/test_core.c
@@ -38,6 +38,7 @@
     struct core_searcher searchers[SEARCHERS];
     struct lnk *links[LINKS_MAX]; /* in the order of opening */
     int link_count;
+    int stopping_count; /* messages to the agent */
     GString *out;
 };
 
@@ -169,7 +170,7 @@
             released->instance, released->epoch, test->link_count);
     }
     else if (type == MSG_STOPPING) {
-        g_string_append(test->out, "stopping\n");
+        test->stopping_count += 1;
     }
 }
 
@@ -433,7 +434,7 @@
     test->out = out;
     struct lnk *link = busy_link(test, strcmp(argv[1], "oldest") == 0);
     int rc = rc_from_name(argv[2]);
-    if (rc == RC_LINK_LOST) {
+    if (rc == RC_LINK_LOST || rc == RC_TOO_LARGE) {
         rly_on_lost(link, rc, test->now_us);
         return;
     }
@@ -503,8 +504,10 @@
 run_stopped(void *ctx, int argc, char **argv, GString *out)
 {
     const struct core_test *test = ctx;
-    g_string_append(out, rly_is_stopped(test->rly, test->now_us) ? "stopped"
-                                                                 : "running");
+    bool is_stopped = rly_is_stopped(test->rly, test->now_us);
+    g_string_append_printf(out, "%s stopping=%d",
+                           is_stopped ? "stopped" : "running",
+                           test->stopping_count);
 }
 
 /* count NAME REASON */
