--- a/entry/answer.c
+++ b/entry/answer.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -24,11 +25,14 @@
           enum rc_run run, const char *field, const char *message)
 {
     cnt_add(counters, "refused_total", rc_name(rc));
-    json_t *error = json_pack("{s:i, s:s, s:s, s:s}", "code", rc, "name",
+    /* Both may quote a part of the body that ends within a character. */
+    char *text =
+        g_utf8_make_valid(message != NULL ? message : rc_text(rc), -1);
+    char *name = field != NULL ? g_utf8_make_valid(field, -1) : NULL;
+    json_t *error = json_pack("{s:i, s:s, s:s, s:s, s:s*}", "code", rc, "name",
                               rc_name(rc), "run", rc_run_name(run), "message",
-                              message != NULL ? message : rc_text(rc));
-    if (field != NULL) {
-        json_object_set_new(error, "field", json_string(field));
-    }
+                              text, "field", name);
+    g_free(text);
+    g_free(name);
     ans_json(request, rc_http_status(rc), error);
 }
--- a/entry/app.c
+++ b/entry/app.c
@@ -15,8 +15,9 @@
 
 /* Period of SUBSCRIBE, HELLO and expiry checks. */
 #define APP_PULSE_MS 50
-/* After the last request: time for its answer to leave the socket buffers. */
-#define APP_LINGER_US (200 * 1000)
+/* Connections that stay open without a request do not delay the stop longer;
+ * callers stopped using them when their copy of the address list ran out. */
+#define APP_LINGER_US (500 * 1000)
 
 int64_t
 app_now_us(void)
@@ -171,7 +172,8 @@
     if (app->idle_us == 0) {
         app->idle_us = now_us;
     }
-    if (now_us - app->idle_us >= APP_LINGER_US) {
+    if (hsv_connection_count(app->http) == 0 ||
+        now_us - app->idle_us >= APP_LINGER_US) {
         uv_stop(app->loop);
     }
 }
--- a/entry/gather.c
+++ b/entry/gather.c
@@ -12,6 +12,8 @@
 #define GTH_RESTART_BURST 64
 /* A part whose reply was unusable is asked once more. */
 #define GTH_MAX_BAD_REPLIES 2
+/* No result code is below the negative of this. */
+#define GTH_MAX_RC 63
 
 enum gth_part_state {
     GTH_PENDING, /* not asked, or to be asked again */
@@ -390,21 +392,16 @@
 static int
 gth_telling_rc(const GArray *missing)
 {
+    guint counts[GTH_MAX_RC + 1] = {0};
     int best = missing->len > 0 ? RC_DEADLINE : RC_NO_RELAY;
     guint best_count = 0;
     for (guint i = 0; i < missing->len; i++) {
         int rc = g_array_index(missing, struct gth_missing, i).rc;
-        guint count = 0;
-        for (guint j = i; j < missing->len; j++) {
-            count += g_array_index(missing, struct gth_missing, j).rc == rc;
-        }
-        if (rc != RC_DEADLINE && count > best_count) {
+        CH_INVARIANT(rc < 0 && rc >= -GTH_MAX_RC);
+        counts[-rc] += 1;
+        if (rc != RC_DEADLINE && counts[-rc] > best_count) {
             best = rc;
-            best_count = count;
-        }
-        /* A code seen in most shards cannot be beaten by a later one. */
-        if (best_count > missing->len - i) {
-            break;
+            best_count = counts[-rc];
         }
     }
     return best;
--- a/entry/plan.c
+++ b/entry/plan.c
@@ -148,15 +148,15 @@
 
 static bool
 pln_offered_equal(const struct pln_offered *old,
-                  const struct msg_offer_instance *new)
+                  const struct msg_offer_instance *now)
 {
-    return old->epoch == new->epoch &&
-           old->version_count ==
-               new->version_count &&strcmp(old->service, new->service) == 0 &&
-           strcmp(old->instance, new->instance) == 0 &&
-           (new->version_count == 0 ||
-            memcmp(old->versions, new->versions,
-                   new->version_count * sizeof(*new->versions)) == 0);
+    return old->epoch == now->epoch &&
+           old->version_count == now->version_count &&
+           strcmp(old->service, now->service) == 0 &&
+           strcmp(old->instance, now->instance) == 0 &&
+           (now->version_count == 0 ||
+            memcmp(old->versions, now->versions,
+                   now->version_count * sizeof(*now->versions)) == 0);
 }
 
 static bool
@@ -220,11 +220,13 @@
         return false;
     }
     bool is_restarted = relay->start != 0 && relay->start != offer->start;
-    /* After a silence the offers are gone, so an equal seq brings them back.
-     */
-    if (relay->start == offer->start &&
-        (offer->seq < relay->seq ||
-         (offer->seq == relay->seq && relay->is_live))) {
+    /* An equal seq is a repetition; after a silence it brings the offers
+     * back. */
+    if (relay->start == offer->start && offer->seq == relay->seq &&
+        relay->is_live) {
+        return false;
+    }
+    if (relay->start == offer->start && offer->seq < relay->seq) {
         cnt_add(plan->counters, "offer_dropped_total", "old_seq");
         return false;
     }
