--- a/spec/reqid.pml
+++ b/spec/reqid.pml
@@ -43,7 +43,7 @@
     assert(runs == 0 && execs_alive == 0);
 }
 
-/* ord_answer() in entry/orders.c: the caller sees the outcome. */
+/* ord_finish() in entry/order.c: the caller sees the outcome. */
 inline answer(outcome)
 {
     if
@@ -52,7 +52,7 @@
     fi
 }
 
-/* ord_dispatch() in entry/orders.c: EXEC goes to the holder's relay. */
+/* ord_try() in entry/order.c: EXEC goes to the holder's relay. */
 inline send_exec()
 {
     a_qid++;
@@ -68,8 +68,9 @@
 {
     byte qid;
     mtype outcome;
+end:
     do
-    /* rid_begin() in entry/reqid.c: an order with the id arrives. */
+    /* ord_submit() in entry/order.c: an order with the id arrives. */
     :: to_a ? ORDER ->
         atomic {
             if
@@ -96,7 +97,7 @@
 #endif
             fi
         }
-    /* rid_finish() in entry/reqid.c: EXEC_REPLY, also a late one. */
+    /* ord_reply() in entry/order.c: EXEC_REPLY, also a late one. */
     :: exec_reply ? qid, outcome ->
         atomic {
             if
@@ -108,7 +109,7 @@
             :: else -> skip
             fi
         }
-    /* rid_expire_wait() in entry/reqid.c: the deadline passes. */
+    /* ord_end() in entry/order.c: the deadline passes. */
     :: a_state == RUNNING ->
         atomic {
             a_state = ENDED;
@@ -125,9 +126,10 @@
     od
 }
 
-/* ord_forward() in entry/orders.c: an entry that did not issue the id. */
+/* fwd_start() in entry/forward.c: an entry that did not issue the id. */
 active proctype entry_b()
 {
+end:
     do
     :: to_b ? ORDER ->
         if
@@ -140,11 +142,12 @@
     od
 }
 
-/* bck_execute() in relay/backend.c and the searcher behind it. */
+/* ord_start() in relay/order.c and the searcher behind it. */
 active proctype relay()
 {
     byte qid;
     mtype outcome;
+end:
     do
     :: exec ? qid ->
         if
