--- a/include/relay/searcher.h
+++ b/include/relay/searcher.h
@@ -38,8 +38,8 @@
     struct lnk_pool pool;
     int64_t latency_us; /* moving average, 0 if unknown */
     int64_t latency_at_us;
-    int64_t answered_us;   /* last answer of any kind, 0 for none */
-    uint32_t strike_count; /* requests without an answer since then */
+    int64_t answered_us;       /* last answer of any kind, 0 for none */
+    uint32_t unanswered_count; /* requests without an answer since then */
     uint64_t started_count;
     struct cnt_set *counters;
     void *owner;
@@ -61,7 +61,7 @@
 /* A searcher without an answer for this long is not offered. */
 #define SCH_LOST_US 3000000
 /* From this many requests without an answer on, others are preferred. */
-#define SCH_STRIKES 2
+#define SCH_UNANSWERED_MAX 2
 /* Assumed latency of a searcher that has not answered yet. */
 #define SCH_LATENCY_GUESS_US 5000
 
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -10,7 +10,7 @@
  * replica without work, and without new samples, for good. */
 #define SCH_FORGET_US 500000
 #define SCH_FORGET_MAX 16
-#define SCH_STRIKE_PENALTY_US 1000000
+#define SCH_UNANSWERED_PENALTY_US 1000000
 
 struct sch *
 sch_new(const struct cfg_service *service, const struct cfg_searcher *searcher,
@@ -110,7 +110,7 @@
                 int64_t now_us)
 {
     sch->answered_us = now_us;
-    sch->strike_count = 0;
+    sch->unanswered_count = 0;
     if (cold_note_start(&sch->cold, status->start, now_us)) {
         sch_turn_cold(sch, "start");
     }
@@ -202,8 +202,8 @@
     }
     int64_t limit = MIN(cold_limit(&sch->cold, now_us), sch->slots);
     int64_t expected_us = service_us * (limit + sch->in_flight) / limit;
-    if (sch->strike_count >= SCH_STRIKES) {
-        expected_us += SCH_STRIKE_PENALTY_US;
+    if (sch->unanswered_count >= SCH_UNANSWERED_MAX) {
+        expected_us += SCH_UNANSWERED_PENALTY_US;
     }
     return expected_us;
 }
@@ -239,7 +239,7 @@
 {
     int64_t until_us = now_us + SCH_CANCEL_HOLD_US;
     g_array_append_val(sch->held_until, until_us);
-    sch->strike_count += 1;
+    sch->unanswered_count += 1;
     bool is_slow = cold_is_slow(&sch->cold, latency_us);
     if (is_slow) {
         sch_note_latency(sch, latency_us, now_us);
@@ -255,7 +255,7 @@
         return sch_note_closed(sch, end == SCH_FAILED, latency_us, now_us);
     }
     sch->answered_us = now_us;
-    sch->strike_count = 0;
+    sch->unanswered_count = 0;
     if (end == SCH_SHED) {
         return cold_note_slow(&sch->cold, now_us);
     }
--- a/tests/relay/test_core.c
+++ b/tests/relay/test_core.c
@@ -22,7 +22,7 @@
 #define LINKS_MAX 64
 
 struct core_searcher {
-    bool is_deaf; /* answers no probes */
+    bool is_silent; /* answers no probes */
     struct sch_status status;
 };
 
@@ -247,7 +247,7 @@
         if (links[i]->state == LNK_CONNECTING) {
             rly_on_connected(links[i], RC_OK, test->now_us);
         }
-        else if (links[i]->state == LNK_PROBING && !at->is_deaf) {
+        else if (links[i]->state == LNK_PROBING && !at->is_silent) {
             rly_on_status(links[i], &at->status, true, test->now_us);
         }
     }
@@ -473,13 +473,13 @@
     test->out = out;
 }
 
-/* searcher I deaf|answers|draining */
+/* searcher I silent|answers|draining */
 static void
 run_searcher(void *ctx, int argc, char **argv, GString *out)
 {
     struct core_test *test = ctx;
     struct core_searcher *at = &test->searchers[scr_number(argc, argv, 1)];
-    at->is_deaf = strcmp(argv[2], "deaf") == 0;
+    at->is_silent = strcmp(argv[2], "silent") == 0;
     at->status.is_draining = strcmp(argv[2], "draining") == 0;
 }
 
