entry: bound the searches that run at a time

No relay can know which searches the others refuse.

Change: entry/admit bounds the searches of a service that run at a time. The bound grows with complete answers and shrinks when parts are refused all over the layout; refusals by single shards (cold or lost instances) do not count. Callers of lower priority may use less of it.

--- a/entry/app.c
+++ b/entry/app.c
@@ -210,6 +210,7 @@
     app->counters = cnt_set_new();
     app->plan = pln_new(app->counters);
     app->quota = qta_new(app->counters);
+    app->admit = adm_new(app->counters);
     app->ids =
         rid_new(app->options->machine, app->start, RID_MAX_IDS, app->counters);
     const struct gth_callbacks gather = {
@@ -302,6 +303,7 @@
     fwd_free(app->forwards);
     rid_free(app->ids);
     qta_free(app->quota);
+    adm_free(app->admit);
     pln_free(app->plan);
     cnt_set_free(app->counters);
     cfg_free(app->config);
--- a/entry/search.c
+++ b/entry/search.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "common/rc.h"
+#include "entry/admit.h"
 #include "entry/answer.h"
 #include "entry/body.h"
 #include "entry/http.h"
@@ -15,6 +16,7 @@
     struct app *app;
     struct hsv_request *request;
     struct gth_query *query;
+    char *service;
 };
 
 struct search_body {
@@ -50,6 +52,40 @@
     return hits;
 }
 
+static bool
+search_is_load_refusal(int rc)
+{
+    return rc == RC_TOO_LATE || rc == RC_QUEUE_FULL;
+}
+
+/* Gives the place back; `answer` is NULL for an abandoned search. */
+static void
+search_free(struct search *search, const struct gth_answer *answer)
+{
+    struct adm *admit = search->app->admit;
+    if (answer == NULL) {
+        adm_done(admit, search->service, NULL, app_now_us());
+    }
+    else {
+        GArray *refused = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        for (size_t i = 0; i < answer->missing_count; i++) {
+            if (search_is_load_refusal(answer->missing[i].rc)) {
+                g_array_append_val(refused, answer->missing[i].shard);
+            }
+        }
+        const struct adm_result result = {
+            .shards_needed = answer->shards_needed,
+            .is_complete = answer->rc == RC_OK && answer->missing_count == 0,
+            .refused = (const uint64_t *)refused->data,
+            .refused_count = refused->len,
+        };
+        adm_done(admit, search->service, &result, app_now_us());
+        g_array_free(refused, TRUE);
+    }
+    g_free(search->service);
+    g_free(search);
+}
+
 void
 search_on_finish(void *ctx, void *request_ctx, const struct gth_answer *answer)
 {
@@ -58,7 +94,7 @@
     if (answer->rc != RC_OK) {
         ans_error(search->request, app->counters, answer->rc,
                   rc_run(answer->rc), NULL, NULL);
-        g_free(search);
+        search_free(search, answer);
         return;
     }
     double coverage =
@@ -71,7 +107,7 @@
                   answer->shards_done == answer->shards_needed, "hits",
                   search_hits_json(answer));
     ans_json(search->request, 200, value);
-    g_free(search);
+    search_free(search, answer);
 }
 
 static void
@@ -80,7 +116,7 @@
     struct search *search = ctx;
     gth_abandon(search->app->gather, search->query);
     hsv_respond(request, rc_http_status(RC_CANCELLED), "text/plain", "", 0);
-    g_free(search);
+    search_free(search, NULL);
 }
 
 /* Reads the body. Returns RC_OK or the code to answer with. */
@@ -131,6 +167,7 @@
     struct search *search = g_new0(struct search, 1);
     search->app = app;
     search->request = request;
+    search->service = g_strdup(service->name);
     request->on_gone = search_on_gone;
     request->ctx = search;
     int64_t now_us = app_now_us();
@@ -148,6 +185,20 @@
     }
 }
 
+/* Callers that are not declared have the priority of "default", or 0. */
+static int64_t
+search_priority(const struct cfg *config, const char *caller_name)
+{
+    const struct cfg_caller *caller = NULL;
+    if (caller_name != NULL) {
+        caller = cfg_caller_find(config, caller_name);
+    }
+    if (caller == NULL) {
+        caller = cfg_caller_find(config, "default");
+    }
+    return caller != NULL ? caller->priority : 0;
+}
+
 void
 cmd_search(struct app *app, struct hsv_request *request, const char *rest)
 {
@@ -172,6 +223,10 @@
     }
     char *caller = hsv_header(request, "x-caller");
     rc = qta_take(app->quota, caller, app_now_us());
+    if (rc == RC_OK) {
+        rc = adm_take(app->admit, service->name,
+                      search_priority(app->config, caller));
+    }
     g_free(caller);
     if (rc != RC_OK) {
         ans_error(request, app->counters, rc, RC_RUN_NO, NULL, NULL);
--- a/include/entry/app.h
+++ b/include/entry/app.h
@@ -15,6 +15,7 @@
 #include "entry/options.h"
 #include "entry/order.h"
 #include "entry/plan.h"
+#include "entry/admit.h"
 #include "entry/quota.h"
 #include "entry/reqid.h"
 
@@ -43,6 +44,7 @@
     struct ord *orders;
     struct fwd *forwards;
     struct qta *quota;
+    struct adm *admit;
 
     struct agl *agent;
     struct rly *relays;
