entry: forward orders to machines that STATE no longer names

Cause: an agent that stops leaves STATE before its entry has drained. Orders with ids of that entry, sent to another one, got outcome_unknown at once.

Change: addresses of other entries are kept for as long as an id is valid, and a forward is tried whatever state the machine is said to be in.

Conclusion: a dead owner now costs the caller its deadline, not an immediate outcome_unknown.

--- a/entry/app.c
+++ b/entry/app.c
@@ -99,6 +99,7 @@
     app->state = *state;
     app->lease_until_us = app_state(app)->lease_until_us;
     app_adopt_config(app, app_state(app));
+    prs_learn(app->peers, app_state(app), app_now_us());
     rly_update(app->relays, app_now_us());
     app_wake(app);
 }
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -6,6 +6,7 @@
 #include "entry/body.h"
 #include "entry/http.h"
 #include "entry/orders.h"
+#include "entry/peers.h"
 
 #define ORDERS_MAX_KEY_BYTES 1024
 #define ORDERS_MAX_ID_BYTES 128
@@ -265,8 +266,7 @@
                const struct orders_body *body, const char *text)
 {
     struct app *app = call->app;
-    const struct msg_machine *machine = app_machine(app, call->id.machine);
-    if (machine == NULL || !app_machine_is_up(machine) ||
+    if (!prs_knows(app->peers, call->id.machine) ||
         strcmp(call->id.machine, app->options->machine) == 0) {
         /* The process that issued the id is gone, and with it the outcome. */
         orders_on_done(call, RC_OUTCOME_UNKNOWN, NULL, 0);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -11,10 +11,17 @@
     struct zsk_socket *socket;
 };
 
+/* Where the entry of a machine was last said to be. */
+struct prs_address {
+    char *address;
+    int64_t seen_us;
+};
+
 struct prs {
     struct app *app;
     struct zsk_socket *server;
-    GHashTable *links; /* machine -> struct prs_link */
+    GHashTable *links;     /* machine -> struct prs_link */
+    GHashTable *addresses; /* machine -> struct prs_address */
 };
 
 /* One ORDER of a peer. */
@@ -118,6 +125,14 @@
     g_free(link);
 }
 
+static void
+prs_address_free(gpointer data)
+{
+    struct prs_address *known = data;
+    g_free(known->address);
+    g_free(known);
+}
+
 int
 prs_open(struct app *app, struct prs **out)
 {
@@ -131,6 +146,8 @@
     }
     peers->links =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, prs_link_free);
+    peers->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             prs_address_free);
     *out = peers;
     return RC_OK;
 }
@@ -140,28 +157,59 @@
 {
     if (peers != NULL) {
         g_hash_table_destroy(peers->links);
+        g_hash_table_destroy(peers->addresses);
         zsk_close(peers->server);
         g_free(peers);
     }
 }
 
-/* The link to the machine at its present address, or NULL. */
+static gboolean
+prs_is_outdated(gpointer name, gpointer value, gpointer now_us)
+{
+    const struct prs_address *known = value;
+    return *(const int64_t *)now_us - known->seen_us > RID_EXPIRY_US;
+}
+
+void
+prs_learn(struct prs *peers, const struct msg_state *state, int64_t now_us)
+{
+    for (size_t i = 0; i < state->machine_count; i++) {
+        const struct msg_machine *machine = &state->machines[i];
+        if (machine->peer_address[0] == '\0') {
+            continue;
+        }
+        struct prs_address *known = g_new0(struct prs_address, 1);
+        known->address = g_strdup(machine->peer_address);
+        known->seen_us = now_us;
+        g_hash_table_insert(peers->addresses, g_strdup(machine->name), known);
+    }
+    g_hash_table_foreach_remove(peers->addresses, prs_is_outdated, &now_us);
+}
+
+bool
+prs_knows(const struct prs *peers, const char *machine)
+{
+    return g_hash_table_contains(peers->addresses, machine);
+}
+
+/* The link to the machine at its last known address, or NULL. */
 static struct prs_link *
 prs_link_get(struct prs *peers, const char *name)
 {
-    const struct msg_machine *machine = app_machine(peers->app, name);
-    struct prs_link *link = g_hash_table_lookup(peers->links, name);
-    if (machine == NULL || machine->peer_address[0] == '\0') {
-        return link;
+    const struct prs_address *known =
+        g_hash_table_lookup(peers->addresses, name);
+    if (known == NULL) {
+        return NULL;
     }
-    if (link != NULL && strcmp(link->address, machine->peer_address) == 0) {
+    struct prs_link *link = g_hash_table_lookup(peers->links, name);
+    if (link != NULL && strcmp(link->address, known->address) == 0) {
         return link;
     }
     g_hash_table_remove(peers->links, name);
     link = g_new0(struct prs_link, 1);
     link->app = peers->app;
     link->machine = g_strdup(name);
-    link->address = g_strdup(machine->peer_address);
+    link->address = g_strdup(known->address);
     if (zsk_connect(peers->app->zmq, link->address, prs_on_client_message,
                     link, &link->socket) != RC_OK) {
         cnt_add(peers->app->counters, "connect_failed_total", "peer");
