entry: let the admission bound grow only on early answers

Cause: the bound of running searches grew until answers used their whole deadline; one admitted search in seven then missed a shard at twice the capacity.

--- a/entry/admit.c
+++ b/entry/admit.c
@@ -17,6 +17,12 @@
  */
 #define ADM_SPREAD_DIVISOR 10
 #define ADM_PRIORITY_MAX 5
+/*
+ * Answers that use more of their budget than 1 / this leave no room for more
+ * load: with growth up to the deadline itself one admitted search in seven
+ * missed a shard at twice the capacity.
+ */
+#define ADM_GROWTH_DIVISOR 2
 
 struct adm_service {
     uint64_t limit_milli;
@@ -135,7 +141,9 @@
     struct adm_service *service = adm_service_get(admit, service_name);
     CH_INVARIANT(service->running > 0);
     if (result != NULL && result->is_complete) {
-        adm_increase(service);
+        if (result->latency_us < result->budget_us / ADM_GROWTH_DIVISOR) {
+            adm_increase(service);
+        }
     }
     else if (result != NULL && result->refused_count > 0) {
         adm_note_refused(admit, service, result, now_us);
--- a/entry/search.c
+++ b/entry/search.c
@@ -17,6 +17,8 @@
     struct hsv_request *request;
     struct gth_query *query;
     char *service;
+    int64_t started_us;
+    int64_t deadline_us;
 };
 
 struct search_body {
@@ -63,8 +65,9 @@
 search_free(struct search *search, const struct gth_answer *answer)
 {
     struct adm *admit = search->app->admit;
+    int64_t now_us = app_now_us();
     if (answer == NULL) {
-        adm_done(admit, search->service, NULL, app_now_us());
+        adm_done(admit, search->service, NULL, now_us);
     }
     else {
         GArray *refused = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -76,10 +79,12 @@
         const struct adm_result result = {
             .shards_needed = answer->shards_needed,
             .is_complete = answer->rc == RC_OK && answer->missing_count == 0,
+            .latency_us = now_us - search->started_us,
+            .budget_us = search->deadline_us - search->started_us,
             .refused = (const uint64_t *)refused->data,
             .refused_count = refused->len,
         };
-        adm_done(admit, search->service, &result, app_now_us());
+        adm_done(admit, search->service, &result, now_us);
         g_array_free(refused, TRUE);
     }
     g_free(search->service);
@@ -171,12 +176,14 @@
     request->on_gone = search_on_gone;
     request->ctx = search;
     int64_t now_us = app_now_us();
+    search->started_us = now_us;
+    search->deadline_us = now_us + body->deadline_ms * 1000;
     const struct gth_request start = {
         .service = service->name,
         .query = body->query,
         .key = body->key,
         .limit = (uint64_t)body->limit,
-        .deadline_us = now_us + body->deadline_ms * 1000,
+        .deadline_us = search->deadline_us,
         .ctx = search,
     };
     struct gth_query *query = gth_start(app->gather, &start, now_us);
--- a/include/entry/admit.h
+++ b/include/entry/admit.h
@@ -11,9 +11,9 @@
  * Admission of whole searches. When relays refuse parts because of load, each
  * refuses parts of other queries, and nearly every answer misses some shard.
  * The entry therefore bounds the searches of a service that run at a time: the
- * bound grows by one for as many complete answers as it allows, and shrinks
- * when parts are refused all over the layout. A search above the bound is
- * refused at once and has not run.
+ * bound grows by one for as many complete answers as it allows, if they took
+ * less than half of their budget, and shrinks when parts are refused all over
+ * the layout. A search above the bound is refused at once and has not run.
  */
 
 struct adm;
@@ -22,6 +22,8 @@
 struct adm_result {
     uint64_t shards_needed;
     bool is_complete;
+    int64_t latency_us;
+    int64_t budget_us; /* from the start of the search to its deadline */
     /* Shards that relays refused because of load. */
     const uint64_t *refused;
     size_t refused_count;
