Send answers with their length

Cause: every HTTP answer went out in chunks, since no length was given to h2o.

Change: hsv_respond() sets the content length.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -226,6 +226,8 @@
     g_queue_unlink(&slot->server->waiting, &slot->link);
     h2o_req_t *req = slot->h2o;
     req->res.status = status;
+    /* Known in advance, so that h2o need not send the body in chunks. */
+    req->res.content_length = body_bytes;
     req->res.reason = status < 400 ? "OK" : "Error";
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                    content_type, strlen(content_type));
