Beat on a coarser timer, gossip on adoption, mark contracts of a new relay

The agent's timer runs each 50 ms instead of 20 ms with the cadence of beats kept. A relay process that takes the place of another gets its contracts as not orderly, since requests of the earlier one may still run.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -8,7 +8,7 @@
 #include "common/log.h"
 #include "common/rc.h"
 
-#define AGENT_TICK_MS 20
+#define AGENT_TICK_MS 50
 #define AGENT_HTTP_BODY_MAX (2U << 20)
 /* Time for the state "leaving" to spread when nothing is held. */
 #define AGENT_LINGER_US (INT64_C(400) * 1000)
@@ -178,7 +178,8 @@
                  source);
         ctr_set_config(agent->contracts, rev_cfg(agent->revision));
         agent->is_changed = true;
-        /* Peers learn of it from the next beats. */
+        /* Peers pull it when they see its number. */
+        agent->is_gossip_due = true;
     }
     else if (rc != RC_STALE) {
         log_warn("revision",
--- a/agent/contract.c
+++ b/agent/contract.c
@@ -641,11 +641,15 @@
 {
     for (size_t i = 0; i < contracts->contracts->len; i++) {
         struct ctr_contract *contract = ctr_at(contracts, i);
+        if (ctr_names_self(contracts, contract)) {
+            contract->orderly = 0;
+        }
         if (contract->step == CTR_DRAINING) {
             contract->release_orderly = 0;
             ctr_set_step(contract, now_us, CTR_RELEASED);
         }
     }
+    contracts->callbacks.changed(contracts->callbacks.ctx);
 }
 
 static bool
--- a/agent/lease.c
+++ b/agent/lease.c
@@ -336,7 +336,9 @@
     if (lease->cell_version == 0 || now_us - lease->beat_us < LSE_BEAT_US) {
         return;
     }
-    lease->beat_us = now_us;
+    /* Keeps the cadence although the caller's timer is coarser. */
+    lease->beat_us =
+        MAX(lease->beat_us + LSE_BEAT_US, now_us - LSE_BEAT_US / 2);
     lease->seq += 1;
     lease->sent_us[lease->seq % LSE_SENT_COUNT] = now_us;
     const struct msg_beat beat = {
--- a/agent/subscriber.c
+++ b/agent/subscriber.c
@@ -21,6 +21,7 @@
     struct cnt_set *counters;
     GPtrArray *ones;
     int64_t relay_lost_us;
+    uint64_t relay_start; /* of the newest relay, 0 before the first */
     uint64_t seq;
 };
 
@@ -80,7 +81,11 @@
         return false;
     }
     struct sub_one *one = sub_find_role(subscribers, is_relay);
-    bool is_replaced = one != NULL && is_relay && one->start != message->start;
+    bool is_replaced = is_relay && subscribers->relay_start != 0 &&
+                       subscribers->relay_start != message->start;
+    if (is_relay) {
+        subscribers->relay_start = message->start;
+    }
     if (one == NULL || one->start != message->start ||
         !sub_is_client(one, from->peer)) {
         if (one == NULL) {
--- a/include/agent/contract.h
+++ b/include/agent/contract.h
@@ -111,7 +111,10 @@
 void ctr_on_released(struct ctr *contracts, int64_t now_us,
                      const struct msg_released *released);
 
-/* The relay's process was replaced: what drained on it has ended. */
+/*
+ * The relay's process was replaced: what drained on it has ended, and requests
+ * of the earlier one may still run at searchers, so no contract is "orderly".
+ */
 void ctr_on_relay_replaced(struct ctr *contracts, int64_t now_us);
 
 /*
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -431,6 +431,21 @@
         ctr_is_used(world->contracts, &world->view, "s", argv[1]));
 }
 
+static void
+run_relay_replaced(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    ctr_on_relay_replaced(world->contracts, world->now_us);
+    struct msg_holder *holders = NULL;
+    size_t count = ctr_holders(world->contracts, &world->view, &holders);
+    for (size_t i = 0; i < count; i++) {
+        g_string_append_printf(out, "%s epoch=%" PRIu64 " orderly=%" PRIu64,
+                               holders[i].instance, holders[i].epoch,
+                               holders[i].orderly);
+    }
+    g_free(holders);
+}
+
 /* > view leased|term|can_hold|refused|relay_gone|accepted|voted VALUE */
 static void
 run_view(void *ctx, int argc, char **argv, GString *out)
@@ -593,6 +608,7 @@
     {"was-read", run_was_read},
     {"released", run_released},
     {"held", run_held},
+    {"relay-replaced", run_relay_replaced},
     {"view", run_view},
     {"offer", run_offer},
     {"ready", run_ready},
