--- a/agent/revision.c
+++ b/agent/revision.c
@@ -22,6 +22,7 @@
     uint64_t peer_number; /* highest one that a peer named */
     bool is_ready;
     int64_t pulled_us;
+    uint64_t pulled_number; /* the one that was asked for last */
 };
 
 struct rev *
@@ -165,9 +166,11 @@
 rev_should_pull(struct rev *revision, int64_t now_us, uint64_t number)
 {
     if (number <= revision->number ||
-        now_us - revision->pulled_us < REV_PULL_US) {
+        (number <= revision->pulled_number &&
+         now_us - revision->pulled_us < REV_PULL_US)) {
         return false;
     }
     revision->pulled_us = now_us;
+    revision->pulled_number = number;
     return true;
 }
--- a/include/agent/revision.h
+++ b/include/agent/revision.h
@@ -55,8 +55,8 @@
 bool rev_is_ready(struct rev *revision, int64_t now_us);
 
 /*
- * True when a PULL is to be sent to the peer that named `number`; at most one
- * per 200 ms, since a document may be as large as 1 MB.
+ * True when a PULL is to be sent to the peer that named `number`; for each
+ * revision at most one per 200 ms, since a document may be as large as 1 MB.
  */
 bool rev_should_pull(struct rev *revision, int64_t now_us, uint64_t number);
 
