agent: a voter that restarted does not vote against a machine it heard

Cause: during its silence after a start a voter accepts no beat, so right after it the machines it heard all the time counted as never heard. A restarted agent or one that was asked just then voted "not heard" and from then on refused the beats of a live holder. The holder kept its lease with the other voters and lost it at the next planned stop. Change: beats that arrive during the silence count as heard when the voter is asked. A vote needs a full LEASE without a beat, as the design says. Conclusion: one of two causes of cut requests at planned stops.

--- a/agent/lease.c
+++ b/agent/lease.c
@@ -25,10 +25,11 @@
 
 /* What this machine as a voter knows of one start of a machine. */
 struct lse_record {
-    struct lse_id id;    /* first, so that the record is its own key */
-    int64_t heard_us;    /* any beat, -1 for never */
-    int64_t accepted_us; /* acknowledged beat, -1 for never */
-    int64_t voted_us;    /* when it said "not heard", -1 if it has not */
+    struct lse_id id;      /* first, so that the record is its own key */
+    int64_t heard_us;      /* any beat, -1 for never */
+    int64_t accepted_us;   /* acknowledged beat, -1 for never */
+    int64_t unanswered_us; /* beat during this voter's silence, -1 for none */
+    int64_t voted_us;      /* when it said "not heard", -1 if it has not */
 };
 
 /* One question to the cell. */
@@ -174,6 +175,7 @@
             .id = {.machine = g_strdup(machine), .start = start},
             .heard_us = -1,
             .accepted_us = -1,
+            .unanswered_us = -1,
             .voted_us = -1,
         };
         g_hash_table_insert(lease->records, record, record);
@@ -417,6 +419,7 @@
     lease->cell_version_seen =
         MAX(lease->cell_version_seen, beat->cell_version);
     if (lse_is_silent(lease, now_us)) {
+        record->unanswered_us = now_us;
         return false;
     }
     bool accepted = lse_accepts(lease, now_us, beat, record);
@@ -480,8 +483,10 @@
     if (!is_self) {
         struct lse_record *record =
             lse_record_get(lease, ask->holder, ask->holder_start);
-        not_heard = record->accepted_us < 0 ||
-                    now_us - record->accepted_us >= LSE_LEASE_US;
+        /* A voter that ended its silence just now has accepted no beat yet,
+         * but a machine that it heard meanwhile is alive. */
+        int64_t heard_us = MAX(record->accepted_us, record->unanswered_us);
+        not_heard = heard_us < 0 || now_us - heard_us >= LSE_LEASE_US;
         if (not_heard) {
             record->voted_us = now_us;
         }
