agent: outlive a stopping entry, offer an entry only when it is ready

Cause: the agent exited 0.5 s after SIGTERM while its entry goes on for 6 s. The other machines soon called this machine dead and answered outcome_unknown to orders with its ids instead of forwarding them. After the restart callers got the address of an entry without a configuration and were refused with not_ready. It gives the entry's address to others only 1 s after the entry had its first configuration.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -244,13 +244,16 @@
     return (uint32_t)g_random_int_range(0, (gint32)limit);
 }
 
+/* The agent outlives a stopping entry: without its beats the other machines
+ * would call this one dead and no longer forward orders to the entry. */
 static bool
 agent_is_stop_done(const struct agent *agent, int64_t now_us)
 {
     int64_t age_us = now_us - agent->leaving_us;
     return age_us >= agent->options->drain_ms * 1000 ||
            (age_us >= AGENT_LINGER_US &&
-            ctr_named_count(agent->contracts) == 0);
+            ctr_named_count(agent->contracts) == 0 &&
+            !sub_is_entry_stopping(agent->subscribers));
 }
 
 static void
@@ -261,10 +264,14 @@
     /* Without a relay this machine is no place for a contract. */
     bool has_relay = sub_relay_state(agent->subscribers) == SUB_RELAY_UP;
     const char *relay_address = has_relay ? agent->options->relay_address : "";
+    bool has_entry = sub_is_entry_ready(agent->subscribers, now_us);
+    const char *entry_address = has_entry ? agent->options->entry_address : "";
     const struct mbr_machine *self = mbr_self(agent->members);
     if (self->state != state ||
-        strcmp(self->relay_address, relay_address) != 0) {
-        mbr_set_self(agent->members, now_us, state, relay_address);
+        strcmp(self->relay_address, relay_address) != 0 ||
+        strcmp(self->entry_address, entry_address) != 0) {
+        mbr_set_self(agent->members, now_us, state, relay_address,
+                     entry_address);
         agent->is_gossip_due = true;
     }
     const struct lse_announce announce = {
@@ -320,7 +327,7 @@
         .start = agent->start,
         .zone = options->zone,
         .agent_address = options->listen,
-        .entry_address = options->entry_address,
+        .entry_address = "",
         .peer_address = options->peer_address,
         .relay_address = "",
         .state = MSG_MACHINE_LIVE,
--- a/agent/member.c
+++ b/agent/member.c
@@ -123,10 +123,11 @@
 
 void
 mbr_set_self(struct mbr *members, int64_t now_us, uint64_t state,
-             const char *relay_address)
+             const char *relay_address, const char *entry_address)
 {
     struct mbr_machine *self = mbr_get(members, now_us, members->self);
     bool changed = mbr_set_text(&self->relay_address, relay_address);
+    changed |= mbr_set_text(&self->entry_address, entry_address);
     if (changed || self->state != state) {
         self->state = state;
         self->beat += 1;
--- a/agent/subscriber.c
+++ b/agent/subscriber.c
@@ -12,6 +12,7 @@
     int64_t heard_us;
     int64_t state_us;  /* when the last STATE was sent */
     uint64_t revision; /* the last one sent with its document */
+    int64_t ready_us;  /* when the first document was sent, 0 for never */
     bool has_state;    /* the newest STATE went out */
     bool is_stopping;
 };
@@ -141,6 +142,22 @@
     return relay->is_stopping ? SUB_RELAY_STOPPING : SUB_RELAY_UP;
 }
 
+bool
+sub_is_entry_ready(const struct sub *subscribers, int64_t now_us)
+{
+    const struct sub_one *entry = sub_find_role(subscribers, false);
+    return entry != NULL && !entry->is_stopping && entry->ready_us != 0 &&
+           now_us - entry->ready_us >= SUB_ENTRY_READY_US;
+}
+
+bool
+sub_is_entry_stopping(const struct sub *subscribers)
+{
+    /* A STATE to a process that has exited cannot be sent. */
+    const struct sub_one *entry = sub_find_role(subscribers, false);
+    return entry != NULL && entry->is_stopping && entry->has_state;
+}
+
 int64_t
 sub_relay_lost_us(const struct sub *subscribers)
 {
@@ -178,6 +195,9 @@
         if (rc == RC_OK) {
             one->state_us = now_us;
             one->revision = state->revision;
+            if (one->ready_us == 0 && one->revision > 0) {
+                one->ready_us = now_us;
+            }
         }
     }
 }
--- a/include/agent/member.h
+++ b/include/agent/member.h
@@ -53,7 +53,7 @@
 
 /* Changes what this machine says of itself. */
 void mbr_set_self(struct mbr *members, int64_t now_us, uint64_t state,
-                  const char *relay_address);
+                  const char *relay_address, const char *entry_address);
 
 /* Grows the beat of this machine; call it once a second. */
 void mbr_tick(struct mbr *members, int64_t now_us);
--- a/include/agent/subscriber.h
+++ b/include/agent/subscriber.h
@@ -11,6 +11,8 @@
 
 #define SUB_SILENCE_US (INT64_C(6) * 1000 * 1000)
 #define SUB_STATE_US (INT64_C(1000) * 1000)
+/* A new entry needs two HELLO intervals to know which relay holds what. */
+#define SUB_ENTRY_READY_US (INT64_C(1000) * 1000)
 
 struct sub;
 
@@ -40,6 +42,13 @@
 
 enum sub_relay sub_relay_state(const struct sub *subscribers);
 
+/* Whether the entry can be given to callers: it is not stopping and has had a
+ * configuration for SUB_ENTRY_READY_US. */
+bool sub_is_entry_ready(const struct sub *subscribers, int64_t now_us);
+
+/* Whether an entry that said STOPPING still answers. */
+bool sub_is_entry_stopping(const struct sub *subscribers);
+
 /* When the last relay was dropped, INT64_MIN / 2 when there was none. */
 int64_t sub_relay_lost_us(const struct sub *subscribers);
 
--- a/tests/agent/soak_agent.c
+++ b/tests/agent/soak_agent.c
@@ -978,7 +978,7 @@
         .state = agent->is_leaving ? MSG_MACHINE_LEAVING : MSG_MACHINE_LIVE,
     };
     lse_announce(agent->lease, &announce);
-    mbr_set_self(agent->members, now_us, announce.state, "r");
+    mbr_set_self(agent->members, now_us, announce.state, "r", "e");
     lse_tick(agent->lease, now_us);
     agent_gossip(agent, now_us);
     agent_tick_store(agent, now_us);
