relay: an oversized reply to an order does not mean "not run"

Cause: the HTTP client reports a reply above its limit as too_large, a code that means "not run" for requests that we refuse. The relay took it as such for the order that the searcher had run, and sent it again. A loss after sending that claims "not run" is now an invariant failure.

--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -371,6 +371,8 @@
     struct job *job = att->job;
     struct ins *ins = job->ins;
     bool is_unsent = rc == RC_LINK_FAILED;
+    /* What was sent may have run; "not run" would make an order run again. */
+    CH_INVARIANT(is_unsent || rc_run(rc) != RC_RUN_NO);
     att_end(att, is_unsent ? SCH_UNSENT : SCH_FAILED, now_us);
     lnk_on_lost(link, rc_name(rc), now_us);
     job_attempt_failed(job, rc, now_us);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -111,11 +111,16 @@
         "http://$STORE/v1/vms/m$1" >/dev/null
 }
 
-# machine_start INDEX ZONE [agent flags...]: agent, entry and relay.
+# machine_start INDEX ZONE [agent flags...]: agent, entry and relay of a
+# machine in the platform's list.
 machine_start() {
+    vm_put "$1" "$2" live
+    machine_spawn "$@"
+}
+
+machine_spawn() {
     local i=$1 zone=$2
     shift 2
-    vm_put "$i" "$zone" live
     dep_spawn "agent$i" "$BIN/agent/carobhatch-agent" --machine "m$i" \
         --zone "$zone" --listen "$(agent_address "$i")" \
         --http-listen "$(agent_http "$i")" --store "$STORE" \
--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -14,6 +14,7 @@
 . scripts/lib.sh
 ZONES=(a b c)
 SLOTS=2
+COLD_RAMP_MS=1000
 
 # fact TEXT COMMAND...: prints whether the command succeeds.
 fact() {
@@ -50,7 +51,7 @@
     {
         config_head
         config_service desk "$SEARCHER_PORT" 6 2 "$SLOTS" 25 1000 \
-            "cold_share_permille: 250" "cold_ramp_ms: 1000" \
+            "cold_share_permille: 250" "cold_ramp_ms: $COLD_RAMP_MS" \
             "deadline_default_ms: 300" "deadline_max_ms: 2000" "$@"
     } >"$file"
 }
@@ -90,7 +91,7 @@
     for ((i = 0; i < machines; i++)); do
         dep_wait 20 search_complete "$(entry_http "$i")" desk
     done
-    sleep 1.2 # cold_ramp_ms
+    sleep "$(awk -v ms="$COLD_RAMP_MS" 'BEGIN { print (ms + 200) / 1000 }')"
 }
 
 # load_start NAME SECONDS RATE [flags...]: in the background; the results are
@@ -109,6 +110,17 @@
     wait "${DEP_PIDS[$1]}" || true
     unset "DEP_PIDS[$1]"
     cat "$RUN_DIR/$1.log" >&2
+    relay_reasons >&2
+}
+
+# relay_reasons: why relays turned searchers cold, retried and refused.
+relay_reasons() {
+    local i
+    for ((i = 0; i < MACHINES; i++)); do
+        http_get "$(relay_http "$i")/metrics" |
+            grep -E '(cold_starts|retries|refused)_total' |
+            sed "s/^carobhatch_/m$i /" || true
+    done
 }
 
 # load_number NAME KEY
@@ -173,3 +185,20 @@
     [ "$(tr '\n' ' ' <"$RUN_DIR/held")" = \
         '"de0" "de1" "de2" "de3" "de4" "de5" ' ]
 }
+
+facts_of_no_loss() {
+    fact "no answer was partial" load_is "$1" partial -eq 0
+    fact "no request was refused" load_is "$1" refused_total -eq 0
+    fact "no request failed" load_is "$1" errors_total -eq 0
+}
+
+complete_at() { search_complete "$(entry_http "$1")" desk; }
+
+# facts_of_recovery MACHINE...: service is back at each of them.
+facts_of_recovery() {
+    local i
+    for i in "$@"; do
+        fact "searches are complete again at m$i" dep_wait 20 complete_at "$i"
+    done
+    fact "each instance has one holder" dep_wait 20 held_once "$@"
+}
