--- a/agent/cell.c
+++ b/agent/cell.c
@@ -22,9 +22,6 @@
     int64_t read_us;
     int64_t write_us;
     int64_t started_us;
-    char **reset_members;
-    agent_cell_reset_cb reset_done;
-    void *reset_ctx;
 };
 
 struct agent_cell *
@@ -41,7 +38,6 @@
 void
 agent_cell_free(struct agent_cell *cell)
 {
-    g_strfreev(cell->reset_members);
     g_free(cell);
 }
 
@@ -67,18 +63,6 @@
     g_ptr_array_free(names, TRUE);
 }
 
-static void
-cel_end_reset(struct agent_cell *cell, int rc)
-{
-    agent_cell_reset_cb done = cell->reset_done;
-    cell->reset_done = NULL;
-    g_strfreev(cell->reset_members);
-    cell->reset_members = NULL;
-    if (done != NULL) {
-        done(cell->reset_ctx, rc);
-    }
-}
-
 static void
 cel_on_write(void *ctx, const struct sto_reply *reply)
 {
@@ -95,9 +79,6 @@
         cnt_add(cell->agent->counters, "cell_write_failed_total",
                 rc_name(reply->rc));
     }
-    if (cell->reset_done != NULL && cell->reset_members == NULL) {
-        cel_end_reset(cell, reply->rc);
-    }
     agent_after_event(cell->agent);
 }
 
@@ -115,18 +96,6 @@
             json_pack("{s:o}", "members", members), cel_on_write, cell);
 }
 
-static void
-cel_write_reset(struct agent_cell *cell, uint64_t version)
-{
-    json_t *members = json_array();
-    for (char **name = cell->reset_members; *name != NULL; name++) {
-        json_array_append_new(members, json_string(*name));
-    }
-    g_strfreev(cell->reset_members);
-    cell->reset_members = NULL;
-    cel_put(cell, version, members, "reset");
-}
-
 static void
 cel_on_read(void *ctx, const struct sto_reply *reply)
 {
@@ -140,17 +109,6 @@
         /* Again after CEL_RETRY_US. */
         cell->read_us = agent_now_us() - CEL_READ_US + CEL_RETRY_US;
     }
-    if (cell->reset_members != NULL) {
-        if (reply->rc != RC_OK && reply->rc != RC_NOT_FOUND) {
-            cel_end_reset(cell, reply->rc);
-        }
-        else {
-            /* The store's version, not the one adopted here. */
-            uint64_t version = (uint64_t)json_integer_value(
-                json_object_get(reply->body, "version"));
-            cel_write_reset(cell, version);
-        }
-    }
     agent_after_event(cell->agent);
 }
 
@@ -273,7 +231,7 @@
     int64_t age_us = now_us - cell->read_us;
     bool is_behind = lse_cell_version_seen(agent->lease) > version;
     if (age_us >= CEL_READ_US || (version == 0 && age_us >= CEL_RETRY_US) ||
-        (is_behind && age_us >= CEL_HINT_US) || cell->reset_members != NULL) {
+        (is_behind && age_us >= CEL_HINT_US)) {
         cel_read(cell, now_us);
         return;
     }
@@ -288,19 +246,3 @@
         cel_change(cell, now_us);
     }
 }
-
-void
-agent_cell_reset(struct agent_cell *cell, const char *const *members,
-                 size_t member_count, agent_cell_reset_cb done, void *ctx)
-{
-    if (cell->reset_done != NULL) {
-        done(ctx, RC_RUNNING);
-        return;
-    }
-    cell->reset_members = g_new0(char *, member_count + 1);
-    for (size_t i = 0; i < member_count; i++) {
-        cell->reset_members[i] = g_strdup(members[i]);
-    }
-    cell->reset_done = done;
-    cell->reset_ctx = ctx;
-}
--- a/agent/operator.c
+++ b/agent/operator.c
@@ -151,42 +151,6 @@
     agent_after_event(agent);
 }
 
-static void
-opr_on_reset(void *ctx, int rc)
-{
-    struct hsv_request *request = ctx;
-    if (rc == RC_OK) {
-        opr_answer(request, 200, json_object());
-    }
-    else {
-        opr_refuse(request, rc, NULL);
-    }
-}
-
-static void
-opr_cell_reset(struct agent *agent, struct hsv_request *request)
-{
-    json_t *body = json_loadb(request->body, request->body_bytes, 0, NULL);
-    const json_t *members = json_object_get(body, "members");
-    size_t count = json_array_size(members);
-    GPtrArray *names = g_ptr_array_new();
-    for (size_t i = 0; i < count; i++) {
-        const char *name = json_string_value(json_array_get(members, i));
-        if (name != NULL && name[0] != '\0') {
-            g_ptr_array_add(names, (char *)name);
-        }
-    }
-    if (count == 0 || count > LSE_CELL_MAX || names->len != count) {
-        opr_refuse(request, RC_BAD_FIELD, NULL);
-    }
-    else {
-        agent_cell_reset(agent->cell, (const char *const *)names->pdata, count,
-                         opr_on_reset, request);
-    }
-    g_ptr_array_free(names, TRUE);
-    json_decref(body);
-}
-
 static void
 opr_healthz(struct agent *agent, struct hsv_request *request)
 {
@@ -219,8 +183,9 @@
     const char *path;
     opr_handler run;
 } opr_routes[] = {
-    {"GET", "/status", opr_status},          {"POST", "/config", opr_config},
-    {"POST", "/cell/reset", opr_cell_reset}, {"GET", "/healthz", opr_healthz},
+    {"GET", "/status", opr_status},
+    {"POST", "/config", opr_config},
+    {"GET", "/healthz", opr_healthz},
     {"GET", "/metrics", opr_metrics},
 };
 
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -101,17 +101,6 @@
 void agent_cell_free(struct agent_cell *cell);
 void agent_cell_tick(struct agent_cell *cell, int64_t now_us);
 
-/* Called once with RC_OK or why the cell was not reset. */
-typedef void (*agent_cell_reset_cb)(void *ctx, int rc);
-
-/*
- * Writes a new member list without asking the present members: for an
- * operator who knows that the machines left out are off.
- */
-void agent_cell_reset(struct agent_cell *cell, const char *const *members,
-                      size_t member_count, agent_cell_reset_cb done,
-                      void *ctx);
-
 /* agent/poll.c: lists on timers, watches as hints. */
 struct agent_poll *agent_poll_new(struct agent *agent);
 void agent_poll_free(struct agent_poll *poll);
