--- a/bench/message.c
+++ b/bench/message.c
@@ -27,7 +27,7 @@
 #define BENCH_ZSOCK_WINDOW 256
 
 static const uint64_t bench_parts[] = {1, 5, 20, 100, 500, 1500};
-static const size_t bench_sizes[] = {64, 512, 4096, 16384, 65536};
+static const size_t bench_sizes[] = {64, 512, 1024, 2048, 4096, 16384, 65536};
 
 static int64_t
 bench_cpu_ns(void)
--- a/scripts/capacity-tables.sh
+++ /dev/null
@@ -1,1 +0,0 @@
-tables_write() { :; }
