Keep warm searchers warm across an orderly handover

A new holder met each searcher for the first time and gave it only its cold share for the ramp, so a planned stop under load made answers partial.

RELEASED now lists the searchers on their full share with their start ids. The agent passes the list on in the write that names the successor and in the successor's confirming write, and STATE gives it to the new relay, which takes a listed searcher with the same start id as warm at first contact. The list ends with a takeover, a lapse, a new relay process or a return to service. A successor that never used a contract passes on what the holder before said.

An agent stays until the entry and relay that said STOPPING have exited. A relay that waits after a takeover releases only after that wait, because requests of the lost holder may run until then.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -10,8 +10,9 @@
 
 #define AGENT_TICK_MS 50
 #define AGENT_HTTP_BODY_MAX (2U << 20)
-/* Time for the state "leaving" to spread when nothing is held. */
-#define AGENT_LINGER_US (INT64_C(400) * 1000)
+/* Time for the state "leaving" to spread, and for entry and relay to say
+ * STOPPING when they are stopped together with the agent. */
+#define AGENT_LINGER_US (INT64_C(1000) * 1000)
 
 int64_t
 agent_now_us(void)
@@ -245,13 +246,15 @@
     return (uint32_t)g_random_int_range(0, (gint32)limit);
 }
 
+/* A draining entry needs the state of the fleet until it exits. */
 static bool
 agent_is_stop_done(const struct agent *agent, int64_t now_us)
 {
     int64_t age_us = now_us - agent->leaving_us;
     return age_us >= agent->options->drain_ms * 1000 ||
            (age_us >= AGENT_LINGER_US &&
-            ctr_named_count(agent->contracts) == 0);
+            ctr_named_count(agent->contracts) == 0 &&
+            !sub_is_any_stopping(agent->subscribers, now_us));
 }
 
 static void
--- a/agent/contract.c
+++ b/agent/contract.c
@@ -4,6 +4,7 @@
 
 #include "agent/contract.h"
 #include "agent/lease.h"
+#include "agent/warm.h"
 #include "common/invariant.h"
 #include "common/rc.h"
 
@@ -40,6 +41,7 @@
     uint64_t start;
     uint64_t epoch;
     uint64_t orderly;
+    struct wrm warm;
     int64_t seen_us; /* when this version was first seen */
     /* What this machine does about it. */
     enum ctr_step step;
@@ -48,6 +50,9 @@
     uint64_t confirmed_term;
     /* 1 from the relay's RELEASED until the contract is used again. */
     uint64_t release_orderly;
+    struct wrm release_warm; /* from RELEASED */
+    /* Confirmed here since another holder: `warm` is out of date. */
+    bool is_used;
     /* The newest write. Each one has an epoch of its own. */
     char *want_machine;
     uint64_t want_start;
@@ -96,6 +101,8 @@
     g_free(contract->id.instance);
     g_free(contract->machine);
     g_free(contract->want_machine);
+    wrm_clear(&contract->warm);
+    wrm_clear(&contract->release_warm);
     g_free(contract);
 }
 
@@ -213,6 +220,15 @@
     contract->step_us = now_us;
 }
 
+/* What the next handover says of the searchers. */
+static void
+ctr_set_release(struct ctr_contract *contract, uint64_t orderly,
+                const struct msg_warm *warm, size_t warm_count)
+{
+    contract->release_orderly = orderly;
+    wrm_set(&contract->release_warm, warm, orderly != 0 ? warm_count : 0);
+}
+
 /* Takes over a newer version of the object. Older ones are ignored. */
 static void
 ctr_learn(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
@@ -228,6 +244,7 @@
     contract->start = object->holder.start;
     contract->epoch = object->holder.epoch;
     contract->orderly = object->holder.orderly;
+    wrm_set(&contract->warm, object->holder.warm, object->holder.warm_count);
     contract->seen_us = now_us;
     if (strcmp(contract->machine, object->holder.machine) != 0) {
         g_free(contract->machine);
@@ -238,6 +255,8 @@
         contract->confirmed_epoch = 0;
         cnt_add(contracts->counters, "contract_ended_total", NULL);
     }
+    contract->is_used =
+        contract->is_used && ctr_names_self(contracts, contract);
     if (contract->step == CTR_DRAINING || contract->step == CTR_RELEASED) {
         ctr_set_step(contract, now_us, CTR_IDLE);
     }
@@ -278,7 +297,8 @@
         contract->want_term == view->term) {
         contract->confirmed_epoch = contract->epoch;
         contract->confirmed_term = view->term;
-        contract->release_orderly = 0;
+        contract->is_used = true;
+        ctr_set_release(contract, 0, NULL, 0);
         contracts->callbacks.changed(contracts->callbacks.ctx);
     }
 }
@@ -338,10 +358,17 @@
            contracts->window_writes < CTR_WRITES_MAX;
 }
 
+/* What a write says besides the machine and the epoch. */
+struct ctr_terms {
+    uint64_t orderly;
+    const struct wrm *warm; /* NULL for none */
+    const char *reason;     /* for the counter */
+};
+
 static void
 ctr_write(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
           const struct ctr_view *view, const char *machine, uint64_t start,
-          uint64_t orderly, const char *reason)
+          const struct ctr_terms *terms)
 {
     if (!ctr_may_write(contracts, now_us, view)) {
         cnt_add(contracts->counters, "contract_write_deferred_total", NULL);
@@ -349,7 +376,7 @@
     }
     contracts->window_writes += 1;
     contracts->outstanding += 1;
-    cnt_add(contracts->counters, "contract_writes_total", reason);
+    cnt_add(contracts->counters, "contract_writes_total", terms->reason);
     /*
      * An earlier write of unknown outcome may still take effect; with an
      * epoch of its own it cannot be taken for this one.
@@ -365,14 +392,18 @@
         contracts->callbacks.changed(contracts->callbacks.ctx);
     }
     ctr_set_step(contract, now_us, CTR_WRITING);
-    const struct msg_holder value = {
+    struct msg_holder value = {
         .service = contract->id.service,
         .instance = contract->id.instance,
         .machine = machine,
         .start = start,
         .epoch = contract->want_epoch,
-        .orderly = orderly,
+        .orderly = terms->orderly,
     };
+    if (terms->orderly != 0 && terms->warm != NULL) {
+        value.warm = terms->warm->items;
+        value.warm_count = terms->warm->count;
+    }
     contracts->callbacks.write(contracts->callbacks.ctx, contract->version,
                                &value);
 }
@@ -427,8 +458,9 @@
     if (contract->is_wanted && contracts->is_listed && view->is_leased &&
         view->can_hold &&
         ctr_prefers_self(contracts, contract, now_us, view, CTR_SCOPE_ALL)) {
+        const struct ctr_terms terms = {.orderly = 1, .reason = "claim"};
         ctr_write(contracts, contract, now_us, view, contracts->machine,
-                  contracts->start, 1, "claim");
+                  contracts->start, &terms);
     }
 }
 
@@ -453,8 +485,9 @@
         callbacks->ctx, contract->machine, contract->start);
     /* The version must have stood for a LEASE before the cell was asked. */
     if (voted_us >= 0 && voted_us - contract->seen_us >= LSE_LEASE_US) {
+        const struct ctr_terms terms = {.orderly = 0, .reason = "takeover"};
         ctr_write(contracts, contract, now_us, view, contracts->machine,
-                  contracts->start, 0, "takeover");
+                  contracts->start, &terms);
         return;
     }
     callbacks->ask(callbacks->ctx, contract->machine, contract->start);
@@ -466,10 +499,21 @@
 {
     const struct ctr_machine *best =
         ctr_prefer(contracts, contract, now_us, view, CTR_SCOPE_OTHER);
-    if (best != NULL) {
-        ctr_write(contracts, contract, now_us, view, best->name, best->start,
-                  contract->release_orderly, "handover");
+    if (best == NULL) {
+        return;
     }
+    struct ctr_terms terms = {
+        .orderly = contract->release_orderly,
+        .warm = &contract->release_warm,
+        .reason = "handover",
+    };
+    if (!contract->is_used) {
+        /* Nothing ran here, so what the holder before said still counts. */
+        terms.orderly = contract->orderly;
+        terms.warm = &contract->warm;
+    }
+    ctr_write(contracts, contract, now_us, view, best->name, best->start,
+              &terms);
 }
 
 static size_t
@@ -523,7 +567,7 @@
                   int64_t now_us, const struct ctr_view *view)
 {
     if (view->is_relay_gone) {
-        contract->release_orderly = 0;
+        ctr_set_release(contract, 0, NULL, 0);
         ctr_set_step(contract, now_us, CTR_RELEASED);
     }
     else if (view->can_hold && now_us - contract->step_us > CTR_DRAIN_MAX_US) {
@@ -534,14 +578,27 @@
     }
 }
 
+/* Writes a newer epoch for this machine. */
+static void
+ctr_renew(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
+          const struct ctr_view *view, const char *reason)
+{
+    const struct ctr_terms terms = {
+        .orderly = contract->orderly,
+        .warm = contract->is_used ? NULL : &contract->warm,
+        .reason = reason,
+    };
+    ctr_write(contracts, contract, now_us, view, contracts->machine,
+              contracts->start, &terms);
+}
+
 /* Named by the store but not confirmed in this term: nothing is used. */
 static void
 ctr_tick_unconfirmed(struct ctr *contracts, struct ctr_contract *contract,
                      int64_t now_us, const struct ctr_view *view)
 {
     if (view->is_leased && view->can_hold) {
-        ctr_write(contracts, contract, now_us, view, contracts->machine,
-                  contracts->start, contract->orderly, "confirm");
+        ctr_renew(contracts, contract, now_us, view, "confirm");
     }
     else if (view->is_leased) {
         ctr_hand_over(contracts, contract, now_us, view);
@@ -550,8 +607,7 @@
              now_us - contract->refused_write_us >= CTR_REFUSED_WRITE_US) {
         /* Voters accept beats again when they see a newer epoch. */
         contract->refused_write_us = now_us;
-        ctr_write(contracts, contract, now_us, view, contracts->machine,
-                  contracts->start, contract->orderly, "refused");
+        ctr_renew(contracts, contract, now_us, view, "refused");
     }
 }
 
@@ -632,7 +688,7 @@
         cnt_add(contracts->counters, "contract_released_ignored_total", NULL);
         return;
     }
-    contract->release_orderly = 1;
+    ctr_set_release(contract, 1, released->warm, released->warm_count);
     ctr_set_step(contract, now_us, CTR_RELEASED);
 }
 
@@ -643,9 +699,10 @@
         struct ctr_contract *contract = ctr_at(contracts, i);
         if (ctr_names_self(contracts, contract)) {
             contract->orderly = 0;
+            wrm_clear(&contract->warm);
         }
         if (contract->step == CTR_DRAINING) {
-            contract->release_orderly = 0;
+            ctr_set_release(contract, 0, NULL, 0);
             ctr_set_step(contract, now_us, CTR_RELEASED);
         }
     }
@@ -701,6 +758,10 @@
             .epoch = contract->epoch,
             .orderly = contract->orderly,
         };
+        if (ctr_names_self(contracts, contract) && contract->orderly != 0) {
+            (*out)[count].warm = contract->warm.items;
+            (*out)[count].warm_count = contract->warm.count;
+        }
         count += 1;
     }
     return count;
--- a/agent/object.c
+++ b/agent/object.c
@@ -31,6 +31,23 @@
     return end != text && *end == '\0';
 }
 
+/* A searcher that cannot be read starts cold, like one that is not listed. */
+static void
+obj_read_warm(const json_t *list, struct msg_holder *out)
+{
+    out->warm = g_new0(struct msg_warm, json_array_size(list));
+    size_t i = 0;
+    const json_t *item = NULL;
+    json_array_foreach(list, i, item)
+    {
+        struct msg_warm *warm = &out->warm[out->warm_count];
+        if (obj_string(item, "address", &warm->address) &&
+            obj_start(item, &warm->start)) {
+            out->warm_count += 1;
+        }
+    }
+}
+
 bool
 obj_read_contract(const json_t *object, struct ctr_object *out)
 {
@@ -42,25 +59,57 @@
     if (out->version == 0) {
         return true;
     }
-    return obj_string(value, "service", &out->holder.service) &&
-           obj_string(value, "instance", &out->holder.instance) &&
-           obj_string(value, "machine", &out->holder.machine) &&
-           obj_start(value, &out->holder.start) &&
-           obj_number(value, "epoch", &out->holder.epoch) &&
-           obj_number(value, "orderly", &out->holder.orderly);
+    if (!obj_string(value, "service", &out->holder.service) ||
+        !obj_string(value, "instance", &out->holder.instance) ||
+        !obj_string(value, "machine", &out->holder.machine) ||
+        !obj_start(value, &out->holder.start) ||
+        !obj_number(value, "epoch", &out->holder.epoch) ||
+        !obj_number(value, "orderly", &out->holder.orderly)) {
+        return false;
+    }
+    obj_read_warm(json_object_get(value, "warm"), &out->holder);
+    return true;
+}
+
+void
+obj_clear_contract(struct ctr_object *object)
+{
+    g_free(object->holder.warm);
+    object->holder.warm = NULL;
+    object->holder.warm_count = 0;
+}
+
+static json_t *
+obj_start_value(uint64_t start)
+{
+    char *text = g_strdup_printf("%016" G_GINT64_MODIFIER "x", start);
+    json_t *value = json_string(text);
+    g_free(text);
+    return value;
+}
+
+static json_t *
+obj_warm_value(const struct msg_holder *holder)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < holder->warm_count; i++) {
+        json_t *item =
+            json_pack("{s:s, s:o}", "address", holder->warm[i].address,
+                      "start", obj_start_value(holder->warm[i].start));
+        (void)json_array_append_new(list, item);
+    }
+    return list;
 }
 
 json_t *
 obj_contract_value(const struct msg_holder *holder)
 {
-    char *start = g_strdup_printf("%016" G_GINT64_MODIFIER "x", holder->start);
-    json_t *value =
-        json_pack("{s:s, s:s, s:s, s:s, s:I, s:I}", "service", holder->service,
-                  "instance", holder->instance, "machine", holder->machine,
-                  "start", start, "epoch", (json_int_t)holder->epoch,
-                  "orderly", (json_int_t)holder->orderly);
-    g_free(start);
-    return value;
+    return json_pack("{s:s, s:s, s:s, s:o, s:I, s:I, s:o}", "service",
+                     holder->service, "instance", holder->instance, "machine",
+                     holder->machine, "start", obj_start_value(holder->start),
+                     "epoch", (json_int_t)holder->epoch, "orderly",
+                     (json_int_t)holder->orderly, "warm",
+                     obj_warm_value(holder));
 }
 
 char *
--- a/agent/poll.c
+++ b/agent/poll.c
@@ -47,11 +47,15 @@
             used += 1;
         }
         else {
+            obj_clear_contract(&objects[used]);
             cnt_add(agent->counters, "store_objects_malformed_total",
                     "contract");
         }
     }
     ctr_on_list(agent->contracts, agent_now_us(), objects, used, is_whole);
+    for (size_t i = 0; i < used; i++) {
+        obj_clear_contract(&objects[i]);
+    }
     g_free(objects);
 }
 
--- a/agent/subscriber.c
+++ b/agent/subscriber.c
@@ -14,6 +14,7 @@
     uint64_t revision; /* the last one sent with its document */
     bool has_state;    /* the newest STATE went out */
     bool is_stopping;
+    int64_t unreached_us; /* since when no STATE could be sent, 0: it can */
 };
 
 struct sub {
@@ -152,6 +153,20 @@
     return subscribers->relay_lost_us;
 }
 
+bool
+sub_is_any_stopping(const struct sub *subscribers, int64_t now_us)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        const struct sub_one *one = sub_at(subscribers, i);
+        bool is_gone = one->unreached_us != 0 &&
+                       now_us - one->unreached_us >= SUB_GONE_US;
+        if (one->is_stopping && !is_gone) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 sub_is_due(const struct sub *subscribers, int64_t now_us)
 {
@@ -180,7 +195,11 @@
         int rc = prs_send_client(subscribers->peers, &one->client, MSG_STATE,
                                  state);
         one->has_state = rc == RC_OK;
+        if (rc != RC_OK && one->unreached_us == 0) {
+            one->unreached_us = now_us;
+        }
         if (rc == RC_OK) {
+            one->unreached_us = 0;
             one->state_us = now_us;
             one->revision = state->revision;
         }
--- a/agent/write.c
+++ b/agent/write.c
@@ -44,6 +44,7 @@
     else {
         ctr_on_read(agent->contracts, now_us, view, rc, &object);
     }
+    obj_clear_contract(&object);
     g_free(call->service);
     g_free(call->instance);
     g_free(call);
--- a/common/msg.c
+++ b/common/msg.c
@@ -93,16 +93,19 @@
      STR(msg_machine, entry_address), STR(msg_machine, peer_address),
      STR(msg_machine, relay_address), U64(msg_machine, state),
      U64(msg_machine, beat))
+DESC(msg_warm, STR(msg_warm, address), U64(msg_warm, start))
 DESC(msg_holder, STR(msg_holder, service), STR(msg_holder, instance),
      STR(msg_holder, machine), U64(msg_holder, start), U64(msg_holder, epoch),
-     U64(msg_holder, orderly))
+     U64(msg_holder, orderly),
+     LIST(msg_holder, warm, warm_count, msg_warm_desc))
 DESC(msg_state, U64(msg_state, seq), STR(msg_state, machine),
      U64(msg_state, start), U64(msg_state, revision), BIN(msg_state, config),
      LIST(msg_state, machines, machine_count, msg_machine_desc),
      LIST(msg_state, holders, holder_count, msg_holder_desc),
      I64(msg_state, lease_until_us))
 DESC(msg_released, STR(msg_released, service), STR(msg_released, instance),
-     U64(msg_released, epoch))
+     U64(msg_released, epoch),
+     LIST(msg_released, warm, warm_count, msg_warm_desc))
 DESC(msg_stopping, STR(msg_stopping, role))
 DESC(msg_beat, STR(msg_beat, machine), U64(msg_beat, start),
      U64(msg_beat, seq), U64(msg_beat, cell_version), U64(msg_beat, revision),
--- a/include/agent/object.h
+++ b/include/agent/object.h
@@ -12,10 +12,12 @@
 /*
  * Reads a contract object; strings belong to `object`. Returns false when it
  * is malformed. An object with version 0 and no value means "none"; then only
- * the version is set.
+ * the version is set. Free `out` with obj_clear_contract().
  */
 bool obj_read_contract(const json_t *object, struct ctr_object *out);
 
+void obj_clear_contract(struct ctr_object *object);
+
 json_t *obj_contract_value(const struct msg_holder *holder);
 
 /* "SERVICE:INSTANCE"; free with g_free(). */
--- a/include/agent/subscriber.h
+++ b/include/agent/subscriber.h
@@ -11,6 +11,8 @@
 
 #define SUB_SILENCE_US (INT64_C(6) * 1000 * 1000)
 #define SUB_STATE_US (INT64_C(1000) * 1000)
+/* A stopping subscriber without a connection for this long has exited. */
+#define SUB_GONE_US (INT64_C(200) * 1000)
 
 struct sub;
 
@@ -43,6 +45,9 @@
 /* When the last relay was dropped, INT64_MIN / 2 when there was none. */
 int64_t sub_relay_lost_us(const struct sub *subscribers);
 
+/* True while a subscriber that said STOPPING has not exited. */
+bool sub_is_any_stopping(const struct sub *subscribers, int64_t now_us);
+
 /* True when some subscriber has not had a STATE yet or is due for one. */
 bool sub_is_due(const struct sub *subscribers, int64_t now_us);
 
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -170,6 +170,12 @@
     MSG_MACHINE_DEAD,
 };
 
+/* A searcher that was warm when its contract was released. */
+struct msg_warm {
+    const char *address;
+    uint64_t start; /* of the searcher */
+};
+
 /* Who holds an instance's contract. */
 struct msg_holder {
     const char *service;
@@ -178,6 +184,9 @@
     uint64_t start;
     uint64_t epoch;
     uint64_t orderly; /* 1 if the holder before released it, else 0 */
+    /* As the holder before released it; empty unless orderly. */
+    struct msg_warm *warm;
+    size_t warm_count;
 };
 
 struct msg_state {
@@ -201,6 +210,8 @@
     const char *service;
     const char *instance;
     uint64_t epoch;
+    struct msg_warm *warm;
+    size_t warm_count;
 };
 
 struct msg_stopping {
--- a/include/relay/cold.h
+++ b/include/relay/cold.h
@@ -7,7 +7,8 @@
 /*
  * Cold-start curve of one searcher. A searcher is cold after its first
  * contact, after a new start id and after several slow parts in a row. Its
- * share of the slots then rises linearly from `share_permille` to 1000.
+ * share of the slots then rises linearly from `share_permille` to 1000. Only
+ * an orderly handover that names its start id makes it warm at first contact.
  */
 struct cold {
     uint32_t share_permille;
@@ -17,6 +18,8 @@
     int64_t since_us;
     bool has_start;
     uint64_t start;
+    bool is_expected; /* warm at first contact with `expected` */
+    uint64_t expected;
     int64_t norm_us;       /* usual latency while warm, 0 if unknown */
     uint32_t norm_samples; /* up to COLD_NORM_SAMPLES */
     uint32_t slow_run;     /* slow parts in a row */
@@ -39,7 +42,16 @@
 /* Starts the curve again. */
 void cold_restart(struct cold *cold, int64_t now_us);
 
-/* Notes a start id. Returns true when it is new. */
+/*
+ * First contact after an orderly handover: a searcher that still has the start
+ * id `start` is warm then. Has no effect once the curve starts again.
+ */
+void cold_expect_warm(struct cold *cold, uint64_t start);
+
+/* Whether the full share of the slots is in use. */
+bool cold_is_warm(const struct cold *cold, int64_t now_us);
+
+/* Notes a start id. Returns true when it is new and the searcher cold. */
 bool cold_note_start(struct cold *cold, uint64_t start, int64_t now_us);
 
 /* Notes the latency of an answered part. Returns true when it turned cold. */
--- a/include/relay/instance.h
+++ b/include/relay/instance.h
@@ -31,11 +31,16 @@
     uint64_t released_epoch; /* this one and older ones are never used again */
     int64_t released_us;     /* when RELEASED was sent last */
     uint32_t released_count;
+    struct msg_warm *released_warm; /* for RELEASED, which may be repeated */
+    size_t released_warm_count;
     int64_t usable_at_us;
     int64_t deadline_max_us;
     GPtrArray *searchers; /* struct sch */
-    struct que queue;     /* struct job */
-    GPtrArray *running;   /* struct att, oldest first */
+    /* Of the holder before, until ins_configure(); not owned. */
+    const struct msg_warm *warm;
+    size_t warm_count;
+    struct que queue;   /* struct job */
+    GPtrArray *running; /* struct att, oldest first */
     struct hdg hedge;
     uint32_t hedge_permille;
     struct bgt retry;
@@ -56,8 +61,11 @@
                    const struct cfg_service *service,
                    const struct cfg_instance *instance, int64_t now_us);
 
-/* The contract names this machine. `deadline_max_us` belongs to the service:
- * requests of a lost holder may run that long. */
+/*
+ * The contract names this machine. `deadline_max_us` belongs to the service:
+ * requests of a lost holder may run that long. The list of warm searchers in
+ * `holder` must last until ins_configure(), which applies it.
+ */
 void ins_hold(struct ins *ins, const struct msg_holder *holder,
               int64_t deadline_max_us, int64_t now_us);
 
--- a/include/relay/searcher.h
+++ b/include/relay/searcher.h
@@ -80,6 +80,15 @@
                    const struct cfg_searcher *searcher, bool is_zone_in,
                    int64_t now_us);
 
+/*
+ * A new searcher that was warm with this start id when its contract was
+ * released. Has no effect on one out of service, which returns cold.
+ */
+void sch_expect_warm(struct sch *sch, uint64_t start);
+
+/* In service and on its full share of the slots: to be passed on. */
+bool sch_is_warm(const struct sch *sch, int64_t now_us);
+
 /* Notes a status answer. Returns true if what it offers changed. */
 bool sch_note_status(struct sch *sch, const struct sch_status *status,
                      int64_t now_us);
--- a/relay/cold.c
+++ b/relay/cold.c
@@ -30,6 +30,7 @@
 cold_restart(struct cold *cold, int64_t now_us)
 {
     cold->is_cold = true;
+    cold->is_expected = false;
     cold->since_us = now_us;
     cold->slow_run = 0;
     /* Idle time that is still owed stays owed. */
@@ -38,14 +39,35 @@
     }
 }
 
+void
+cold_expect_warm(struct cold *cold, uint64_t start)
+{
+    CH_INVARIANT(!cold->has_start);
+    cold->is_expected = true;
+    cold->expected = start;
+}
+
+bool
+cold_is_warm(const struct cold *cold, int64_t now_us)
+{
+    return cold->has_start && cold_share_permille(cold, now_us) == COLD_FULL;
+}
+
 bool
 cold_note_start(struct cold *cold, uint64_t start, int64_t now_us)
 {
     if (cold->has_start && cold->start == start) {
         return false;
     }
+    bool is_warm =
+        !cold->has_start && cold->is_expected && cold->expected == start;
     cold->has_start = true;
     cold->start = start;
+    if (is_warm) {
+        cold->is_cold = false;
+        cold->is_expected = false;
+        return false;
+    }
     cold_restart(cold, now_us);
     return true;
 }
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -46,10 +46,22 @@
     return ins;
 }
 
+static void
+ins_clear_released_warm(struct ins *ins)
+{
+    for (size_t i = 0; i < ins->released_warm_count; i++) {
+        g_free((char *)ins->released_warm[i].address);
+    }
+    g_free(ins->released_warm);
+    ins->released_warm = NULL;
+    ins->released_warm_count = 0;
+}
+
 void
 ins_free(struct ins *ins)
 {
     CH_INVARIANT(ins->running->len == 0);
+    ins_clear_released_warm(ins);
     g_ptr_array_free(ins->searchers, TRUE);
     g_ptr_array_free(ins->running, TRUE);
     que_clear(&ins->queue);
@@ -104,6 +116,37 @@
     return is_changed;
 }
 
+/* A searcher met for the first time after an orderly handover. */
+static void
+ins_apply_warm(const struct ins *ins, struct sch *sch)
+{
+    for (size_t i = 0; i < ins->warm_count; i++) {
+        if (strcmp(ins->warm[i].address, sch->address) == 0) {
+            sch_expect_warm(sch, ins->warm[i].start);
+        }
+    }
+}
+
+/* Takes over one declaration; returns true if what is offered changed. */
+static bool
+ins_configure_searcher(struct ins *ins, const struct cfg *cfg,
+                       const struct cfg_service *service,
+                       const struct cfg_searcher *declared, int64_t now_us)
+{
+    bool is_zone_in = cfg_zone_is_in(cfg, declared->zone);
+    struct sch *sch = ins_searcher(ins, declared);
+    if (sch != NULL) {
+        return sch_configure(sch, service, declared, is_zone_in, now_us);
+    }
+    sch = sch_new(service, declared, &ins->rly->calls->link, ins->rly->ctx,
+                  ins, ins->rly->counters);
+    g_ptr_array_add(ins->searchers, sch);
+    bool is_changed =
+        sch_configure(sch, service, declared, is_zone_in, now_us);
+    ins_apply_warm(ins, sch);
+    return is_changed;
+}
+
 static void
 ins_configure_limits(struct ins *ins, const struct cfg_service *service)
 {
@@ -126,21 +169,16 @@
     }
     bool is_changed = ins_remove_undeclared(ins, instance);
     if (service == NULL || instance == NULL) {
+        ins->warm_count = 0;
         return is_changed;
     }
     ins_configure_limits(ins, service);
     for (size_t i = 0; i < instance->searcher_count; i++) {
-        const struct cfg_searcher *declared = &instance->searchers[i];
-        struct sch *sch = ins_searcher(ins, declared);
-        if (sch == NULL) {
-            sch = sch_new(service, declared, &ins->rly->calls->link,
-                          ins->rly->ctx, ins, ins->rly->counters);
-            g_ptr_array_add(ins->searchers, sch);
-        }
-        is_changed |=
-            sch_configure(sch, service, declared,
-                          cfg_zone_is_in(cfg, declared->zone), now_us);
+        is_changed |= ins_configure_searcher(ins, cfg, service,
+                                             &instance->searchers[i], now_us);
     }
+    /* A searcher that is declared later was not part of the handover. */
+    ins->warm_count = 0;
     return is_changed;
 }
 
@@ -168,6 +206,8 @@
             if (holder->orderly == 0 && wait_us > 0) {
                 ins->usable_at_us += wait_us;
             }
+            ins->warm = holder->warm;
+            ins->warm_count = holder->orderly != 0 ? holder->warm_count : 0;
         }
         ins->epoch = holder->epoch;
     }
@@ -192,10 +232,29 @@
     }
 }
 
+/* Lists the warm searchers for the next holder. */
+static void
+ins_note_released(struct ins *ins, int64_t now_us)
+{
+    ins_clear_released_warm(ins);
+    ins->released_warm = g_new0(struct msg_warm, ins->searchers->len);
+    for (guint i = 0; i < ins->searchers->len; i++) {
+        const struct sch *sch = g_ptr_array_index(ins->searchers, i);
+        if (sch_is_warm(sch, now_us)) {
+            ins->released_warm[ins->released_warm_count++] = (struct msg_warm){
+                .address = g_strdup(sch->address),
+                .start = sch->cold.start,
+            };
+        }
+    }
+}
+
 static void
 ins_send_released(struct ins *ins, int64_t now_us)
 {
     const struct msg_released released = {
+        .warm = ins->released_warm,
+        .warm_count = ins->released_warm_count,
         .service = ins->service,
         .instance = ins->name,
         .epoch = ins->released_epoch,
@@ -215,10 +274,13 @@
         }
         return;
     }
-    if (ins->state != INS_DRAINING || ins->running->len > 0) {
+    /* Requests of the holder before may run until then. */
+    if (ins->state != INS_DRAINING || ins->running->len > 0 ||
+        now_us < ins->usable_at_us) {
         return;
     }
     CH_INVARIANT(que_length(&ins->queue) == 0);
+    ins_note_released(ins, now_us);
     /* The links go first: they count against the limit of the next holder. */
     g_ptr_array_set_size(ins->searchers, 0);
     ins->released_epoch = ins->epoch;
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -86,6 +86,21 @@
     return was_in != sch_is_in(sch);
 }
 
+void
+sch_expect_warm(struct sch *sch, uint64_t start)
+{
+    if (sch->is_zone_in && !sch->is_leaving) {
+        cold_expect_warm(&sch->cold, start);
+    }
+}
+
+bool
+sch_is_warm(const struct sch *sch, int64_t now_us)
+{
+    return sch_is_in(sch) && !sch->is_removed &&
+           cold_is_warm(&sch->cold, now_us);
+}
+
 void
 sch_note_start(struct sch *sch, uint64_t start, int64_t now_us)
 {
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -17,6 +17,7 @@
 
 #define START 1
 #define MACHINES 3
+#define WARM_MAX 4
 
 /* The modules of machine m0, start 1, and what they asked to be done. */
 struct world {
@@ -58,15 +59,26 @@
     return world->has_newer_epoch;
 }
 
+static void
+print_warm(GString *out, const struct msg_holder *holder)
+{
+    for (size_t i = 0; i < holder->warm_count; i++) {
+        g_string_append_printf(out, " %s:%" PRIu64, holder->warm[i].address,
+                               holder->warm[i].start);
+    }
+}
+
 static void
 on_write(void *ctx, uint64_t version, const struct msg_holder *value)
 {
     struct world *world = ctx;
     g_string_append_printf(world->out,
                            "write %s v=%" PRIu64 " %s/%" PRIu64
-                           " epoch=%" PRIu64 " orderly=%" PRIu64 "\n",
+                           " epoch=%" PRIu64 " orderly=%" PRIu64,
                            value->instance, version, value->machine,
                            value->start, value->epoch, value->orderly);
+    print_warm(world->out, value);
+    g_string_append_c(world->out, '\n');
 }
 
 static void
@@ -355,17 +367,37 @@
     world->view.stable_since_us = world->now_us;
 }
 
-/* INSTANCE VERSION MACHINE START EPOCH from argv[i] on */
+/* Warm searchers, NAME START each, from argv[i] on. */
+static size_t
+read_warm(int argc, char **argv, int i, struct msg_warm *warm)
+{
+    size_t count = 0;
+    for (; i + 1 < argc && count < WARM_MAX; i += 2) {
+        warm[count++] = (struct msg_warm){
+            .address = argv[i],
+            .start = (uint64_t)scr_number(argc, argv, i + 1),
+        };
+    }
+    return count;
+}
+
+/* INSTANCE VERSION MACHINE START EPOCH [ORDERLY [WARM...]] from argv[i] on */
 static struct ctr_object
 read_object(int argc, char **argv, int i)
 {
+    static struct msg_warm warm[WARM_MAX];
     return (struct ctr_object){
         .version = (uint64_t)scr_number(argc, argv, i + 1),
         .holder = {.service = "s",
                    .instance = argv[i],
                    .machine = argv[i + 2],
                    .start = (uint64_t)scr_number(argc, argv, i + 3),
-                   .epoch = (uint64_t)scr_number(argc, argv, i + 4)},
+                   .epoch = (uint64_t)scr_number(argc, argv, i + 4),
+                   .orderly = argc > i + 5
+                                  ? (uint64_t)scr_number(argc, argv, i + 5)
+                                  : 0,
+                   .warm = warm,
+                   .warm_count = read_warm(argc, argv, i + 6, warm)},
     };
 }
 
@@ -413,10 +445,13 @@
 run_released(void *ctx, int argc, char **argv, GString *out)
 {
     struct world *world = ctx;
+    struct msg_warm warm[WARM_MAX];
     const struct msg_released released = {
         .service = "s",
         .instance = argv[1],
         .epoch = (uint64_t)scr_number(argc, argv, 2),
+        .warm = warm,
+        .warm_count = read_warm(argc, argv, 3, warm),
     };
     ctr_on_released(world->contracts, world->now_us, &released);
 }
@@ -431,21 +466,30 @@
         ctr_is_used(world->contracts, &world->view, "s", argv[1]));
 }
 
+/* What STATE says. */
 static void
-run_relay_replaced(void *ctx, int argc, char **argv, GString *out)
+run_holders(void *ctx, int argc, char **argv, GString *out)
 {
-    struct world *world = ctx;
-    ctr_on_relay_replaced(world->contracts, world->now_us);
+    const struct world *world = ctx;
     struct msg_holder *holders = NULL;
     size_t count = ctr_holders(world->contracts, &world->view, &holders);
     for (size_t i = 0; i < count; i++) {
         g_string_append_printf(out, "%s epoch=%" PRIu64 " orderly=%" PRIu64,
                                holders[i].instance, holders[i].epoch,
                                holders[i].orderly);
+        print_warm(out, &holders[i]);
     }
     g_free(holders);
 }
 
+static void
+run_relay_replaced(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    ctr_on_relay_replaced(world->contracts, world->now_us);
+    run_holders(ctx, argc, argv, out);
+}
+
 /* > view leased|term|can_hold|refused|relay_gone|accepted|voted VALUE */
 static void
 run_view(void *ctx, int argc, char **argv, GString *out)
@@ -607,6 +651,7 @@
     {"wrote", run_wrote},
     {"was-read", run_was_read},
     {"released", run_released},
+    {"holders", run_holders},
     {"held", run_held},
     {"relay-replaced", run_relay_replaced},
     {"view", run_view},
--- a/tests/relay/test_core.c
+++ b/tests/relay/test_core.c
@@ -35,6 +35,7 @@
     uint64_t revision;
     bool is_zone_in;
     int64_t deadline_max_ms;
+    int64_t cold_ramp_ms;
     struct core_searcher searchers[SEARCHERS];
     struct lnk *links[LINKS_MAX]; /* in the order of opening */
     int link_count;
@@ -159,6 +160,16 @@
     }
 }
 
+static void
+print_warm(GString *out, const struct msg_released *released)
+{
+    for (size_t i = 0; i < released->warm_count; i++) {
+        g_string_append_printf(out, " %s=%" PRIu64, released->warm[i].address,
+                               released->warm[i].start);
+    }
+    g_string_append_c(out, '\n');
+}
+
 static void
 on_send_agent(enum msg_type type, const void *body, void *ctx)
 {
@@ -166,8 +177,9 @@
     if (type == MSG_RELEASED) {
         const struct msg_released *released = body;
         g_string_append_printf(
-            test->out, "released %s epoch=%" PRIu64 " links=%d\n",
+            test->out, "released %s epoch=%" PRIu64 " links=%d",
             released->instance, released->epoch, test->link_count);
+        print_warm(test->out, released);
     }
     else if (type == MSG_STOPPING) {
         test->stopping_count += 1;
@@ -196,8 +208,8 @@
         .name = g_strdup("desk"),
         .slots = 2,
         .connections = 25,
-        .cold_share_permille = 1000,
-        .cold_ramp_ms = 0,
+        .cold_share_permille = test->cold_ramp_ms > 0 ? 500 : 1000,
+        .cold_ramp_ms = test->cold_ramp_ms,
         .deadline_max_ms = test->deadline_max_ms,
         .queue_max_parts = 100,
         .hedge_budget_permille = 30,
@@ -266,7 +278,8 @@
     }
 }
 
-/* new DEADLINE_MAX_MS: a relay that has heard of nothing yet. */
+/* new DEADLINE_MAX_MS [COLD_RAMP_MS]: a relay that has heard of nothing yet;
+ * the cold share is one slot of two. */
 static void
 run_new(void *ctx, int argc, char **argv, GString *out)
 {
@@ -281,6 +294,7 @@
         .now_us = 1000LL * MS,
         .is_zone_in = true,
         .deadline_max_ms = scr_number(argc, argv, 1),
+        .cold_ramp_ms = argc > 2 ? scr_number(argc, argv, 2) : 0,
         .counters = cnt_set_new(),
         .out = out,
     };
@@ -311,7 +325,8 @@
     rly_on_state(test->rly, &state, cfg, test->now_us);
 }
 
-/* state MACHINE|- EPOCH ORDERLY LEASE_MS */
+/* state MACHINE|- EPOCH ORDERLY LEASE_MS [ADDRESS START...]: with a list of
+ * warm searchers. */
 static void
 run_state(void *ctx, int argc, char **argv, GString *out)
 {
@@ -328,6 +343,14 @@
         .epoch = (uint64_t)scr_number(argc, argv, 2),
         .orderly = (uint64_t)scr_number(argc, argv, 3),
     };
+    struct msg_warm warm[SEARCHERS];
+    holder.warm = warm;
+    for (int i = 5; i + 1 < argc && holder.warm_count < SEARCHERS; i += 2) {
+        warm[holder.warm_count++] = (struct msg_warm){
+            .address = argv[i],
+            .start = (uint64_t)scr_number(argc, argv, i + 1),
+        };
+    }
     send_state(test, argv[1][0] == '-' ? NULL : &holder, is_first);
 }
 
@@ -473,6 +496,15 @@
     test->out = out;
 }
 
+/* start I START: the searcher has restarted. */
+static void
+run_start(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->searchers[scr_number(argc, argv, 1)].status.start =
+        (uint64_t)scr_number(argc, argv, 2);
+}
+
 /* searcher I silent|answers|draining */
 static void
 run_searcher(void *ctx, int argc, char **argv, GString *out)
@@ -527,7 +559,7 @@
     {"answer", run_answer},     {"warm", run_warm},
     {"searcher", run_searcher}, {"version", run_version},
     {"stop", run_stop},         {"stopped", run_stopped},
-    {"count", run_count},
+    {"count", run_count},       {"start", run_start},
 };
 
 static void
