Keep the link to a relay that is stopping

A relay that stops has no address in STATE any more. Entries took the empty address for a new one and closed the link within 20 ms of the stop, with the replies of parts that were running. The link now stays while the relay is heard.

--- a/entry/relays.c
+++ b/entry/relays.c
@@ -188,7 +188,8 @@
 
 /*
  * A relay with a new address is another one. One that is missing from STATE
- * is kept while it is heard: a restarted agent may know few machines at first.
+ * is kept while it is heard: a restarted agent may know few machines at first,
+ * and a relay that stops finishes what it runs after it has left STATE.
  */
 static bool
 rly_is_gone(const struct rly *relays, const struct rly_link *link,
@@ -196,7 +197,8 @@
 {
     const struct msg_machine *machine =
         app_machine(relays->app, link->machine);
-    if (machine != NULL && app_machine_is_up(machine)) {
+    if (machine != NULL && app_machine_is_up(machine) &&
+        machine->relay_address[0] != '\0') {
         return strcmp(machine->relay_address, link->address) != 0;
     }
     return now_us - link->heard_us >= PLN_SILENCE_US;
