Forget a release after a version that this machine did not write

When the outcome of a handover write is unknown and the object, read back, names this machine again, another one may have used the contract in between. The release and its list are now forgotten then, so the next handover is not orderly.

--- a/agent/contract.c
+++ b/agent/contract.c
@@ -229,6 +229,20 @@
     wrm_set(&contract->release_warm, warm, orderly != 0 ? warm_count : 0);
 }
 
+/*
+ * Another machine may have used the contract before a version that this one
+ * did not write last, even if it names this one.
+ */
+static void
+ctr_note_writer(const struct ctr *contracts, struct ctr_contract *contract)
+{
+    bool is_self = ctr_names_self(contracts, contract);
+    if (!is_self || contract->epoch != contract->want_epoch) {
+        ctr_set_release(contract, 0, NULL, 0);
+    }
+    contract->is_used = contract->is_used && is_self;
+}
+
 /* Takes over a newer version of the object. Older ones are ignored. */
 static void
 ctr_learn(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
@@ -255,8 +269,7 @@
         contract->confirmed_epoch = 0;
         cnt_add(contracts->counters, "contract_ended_total", NULL);
     }
-    contract->is_used =
-        contract->is_used && ctr_names_self(contracts, contract);
+    ctr_note_writer(contracts, contract);
     if (contract->step == CTR_DRAINING || contract->step == CTR_RELEASED) {
         ctr_set_step(contract, now_us, CTR_IDLE);
     }
--- a/tests/agent/soak_agent.c
+++ b/tests/agent/soak_agent.c
@@ -75,6 +75,7 @@
     uint64_t start;
     uint64_t epoch;
     uint64_t orderly;
+    uint64_t warm; /* start of the one listed searcher, 0 for none */
     uint64_t members;
 };
 
@@ -147,6 +148,13 @@
     int64_t ghost_until_us;
 };
 
+/* The last RELEASED of an instance. */
+struct release {
+    uint64_t token; /* start of the searcher that it lists */
+    int machine;
+    uint64_t epoch;
+};
+
 struct sim {
     GRand *rand;
     int64_t now_us;
@@ -170,6 +178,10 @@
     uint64_t transfers; /* contract versions with another holder */
     uint64_t served;    /* instances with a user, summed over steps */
     uint64_t next_start;
+    struct release release[INSTANCES];
+    uint64_t releases;
+    uint64_t used_epoch[INSTANCES]; /* the newest one that was used */
+    uint64_t warm_writes;
 };
 
 static void
@@ -299,6 +311,33 @@
     return &none;
 }
 
+/*
+ * A listed searcher was warm at the releaser: the list comes from the last
+ * release, after which nobody used the instance, or is passed on by a holder
+ * that never used it.
+ */
+static void
+sim_check_warm(struct sim *sim, int instance, const struct object *current,
+               const struct object *next)
+{
+    struct release release = sim->release[instance];
+    if (next->machine != release.machine) {
+        sim->release[instance] = (struct release){.token = 0};
+    }
+    if (next->warm == 0) {
+        return;
+    }
+    sim->warm_writes += 1;
+    bool is_released = next->warm == release.token &&
+                       current->machine == release.machine &&
+                       sim->used_epoch[instance] <= release.epoch;
+    bool is_passed_on = next->warm == current->warm &&
+                        sim->used_epoch[instance] < current->epoch;
+    if (next->orderly != 1 || (!is_released && !is_passed_on)) {
+        sim_fail(sim, "warm list without its release", instance);
+    }
+}
+
 static int
 history_put(struct sim *sim, struct history *history, const struct call *call,
             struct object *result)
@@ -316,6 +355,7 @@
             sim_fail(sim, "epoch did not grow", call->instance);
         }
         sim->transfers += next.machine != current->machine;
+        sim_check_warm(sim, call->instance, current, &next);
     }
     history->versions[history->count % VERSIONS] = next;
     history->count += 1;
@@ -413,6 +453,7 @@
         .start = value->start,
         .epoch = value->epoch,
         .orderly = value->orderly,
+        .warm = value->warm_count > 0 ? value->warm[0].start : 0,
     };
 }
 
@@ -596,6 +637,8 @@
         (void)g_snprintf(instance, sizeof(instance), "i%d", i);
         if (ctr_is_used(agent->contracts, &agent->view, "s", instance)) {
             mask |= 1U << i;
+            agent->sim->used_epoch[i] =
+                history_at(&agent->sim->contracts[i], INT64_MAX)->epoch;
         }
     }
     agent->used_mask = mask;
@@ -738,6 +781,13 @@
 
 /* Replies of the store. */
 
+static size_t
+take_warm(const struct object *object, struct msg_warm *out)
+{
+    *out = (struct msg_warm){.address = "x", .start = object->warm};
+    return object->warm != 0;
+}
+
 static void
 agent_take_contract(struct agent *agent, const struct call *call, int rc)
 {
@@ -746,6 +796,7 @@
     (void)g_snprintf(instance, sizeof(instance), "i%d", call->instance);
     (void)g_snprintf(machine, sizeof(machine), "m%d",
                      call->results[0].machine);
+    struct msg_warm warm;
     const struct ctr_object object = {
         .version = call->results[0].version,
         .holder = {.service = "s",
@@ -753,7 +804,9 @@
                    .machine = machine,
                    .start = call->results[0].start,
                    .epoch = call->results[0].epoch,
-                   .orderly = call->results[0].orderly},
+                   .orderly = call->results[0].orderly,
+                   .warm = &warm,
+                   .warm_count = take_warm(&call->results[0], &warm)},
     };
     const struct ctr_view *view = agent_view(agent);
     if (call->kind == CALL_PUT_CONTRACT) {
@@ -768,6 +821,7 @@
 agent_take_list(struct agent *agent, const struct call *call)
 {
     struct ctr_object objects[INSTANCES];
+    struct msg_warm warm[INSTANCES];
     char names[INSTANCES][2][8];
     size_t count = 0;
     for (int i = 0; i < INSTANCES; i++) {
@@ -784,7 +838,9 @@
                        .machine = names[i][1],
                        .start = result->start,
                        .epoch = result->epoch,
-                       .orderly = result->orderly},
+                       .orderly = result->orderly,
+                       .warm = &warm[count],
+                       .warm_count = take_warm(result, &warm[count])},
         };
         count += 1;
     }
@@ -935,10 +991,19 @@
         if (ctr_is_used(agent->contracts, &agent->view, "s", instance) &&
             !ctr_is_held(agent->contracts, &agent->view, "s", instance) &&
             sim_random(agent->sim, 10) == 0) {
+            struct sim *sim = agent->sim;
+            struct msg_warm warm = {.address = "x", .start = ++sim->releases};
+            sim->release[i] = (struct release){
+                .token = warm.start,
+                .machine = agent->index,
+                .epoch = object->epoch,
+            };
             const struct msg_released released = {
                 .service = "s",
                 .instance = instance,
                 .epoch = object->epoch,
+                .warm = &warm,
+                .warm_count = 1,
             };
             ctr_on_released(agent->contracts, now_us, &released);
         }
@@ -1304,10 +1369,11 @@
     }
     printf("steps=%" PRId64 " virtual_s=%" PRId64 " decisions=%" PRIu64
            " transfers=%" PRIu64 " revisions=%u cell_versions=%" PRIu64
-           " served_permille=%" PRIu64 "\n",
+           " served_permille=%" PRIu64 " warm_writes=%" PRIu64 "\n",
            sim->step, sim->now_us / 1000000, sim->decisions, sim->transfers,
            sim->documents->len, sim->cell.count,
-           sim->served * 1000 / ((uint64_t)sim->step * INSTANCES));
+           sim->served * 1000 / ((uint64_t)sim->step * INSTANCES),
+           sim->warm_writes);
     for (int i = 0; i < FAULT_COUNT; i++) {
         printf("fault %s=%" PRIu64 "\n", fault_names[i], sim->faults[i]);
     }
--- a/tests/relay/soak_relay.c
+++ b/tests/relay/soak_relay.c
@@ -100,6 +100,11 @@
     int64_t told_us;
     int relay_running;
     int64_t cold_busy_us; /* of requests started since told_us */
+    /* In the RELEASED sent last, with this start. */
+    bool is_listed;
+    uint64_t listed_start;
+    /* Listed in an orderly handover and in service since. */
+    bool is_expected_warm;
 };
 
 struct sim_request {
@@ -185,6 +190,7 @@
     uint64_t decisions;
     uint64_t faults[FAULT_COUNT];
     uint64_t done, missing, complete, ran;
+    uint64_t listed; /* searchers in RELEASED */
 };
 
 /* Formatted ahead: a signal handler may only write. */
@@ -630,6 +636,30 @@
     abort();
 }
 
+/* Only searchers on their full share may be listed as warm. */
+static void
+note_listed(struct sim *sim, int instance, const struct msg_released *released)
+{
+    for (int k = 0; k < SEARCHERS; k++) {
+        struct sim_searcher *at = &sim->searchers[k];
+        if (at->instance != instance) {
+            continue;
+        }
+        at->is_listed = false;
+        for (size_t i = 0; i < released->warm_count; i++) {
+            if (strcmp(released->warm[i].address, at->address) == 0) {
+                CHECK(released->warm[i].start == at->told_start);
+                CHECK(curve_permille(sim, at, sim->now_us) == 1000);
+                CHECK(sim->zone_in[at->zone]);
+                CHECK(!at->is_leaving && !at->is_removed);
+                at->is_listed = true;
+                at->listed_start = at->told_start;
+                sim->listed += 1;
+            }
+        }
+    }
+}
+
 /* Nothing may be open to an instance that was released. */
 static void
 on_released(struct sim *sim, const struct msg_released *released)
@@ -645,6 +675,7 @@
     CHECK(released->epoch <= sim->epoch[instance]);
     CHECK(!sim->held[instance] || released->epoch < sim->epoch[instance]);
     sim->is_used[instance] = false;
+    note_listed(sim, instance, released);
 }
 
 static void
@@ -792,6 +823,10 @@
         at->told_start = at->start;
         at->told_us = sim->now_us;
         at->cold_busy_us = 0;
+        if (at->is_expected_warm && at->start == at->listed_start) {
+            at->told_us -= 2 * SEC;
+        }
+        at->is_expected_warm = false;
     }
 }
 
@@ -963,9 +998,27 @@
     return cfg;
 }
 
+/* The list goes with every STATE, as the agent repeats it. */
+static size_t
+list_warm(const struct sim *sim, int instance, struct msg_warm *warm)
+{
+    size_t count = 0;
+    for (int i = 0; i < SEARCHERS; i++) {
+        const struct sim_searcher *at = &sim->searchers[i];
+        if (at->instance == instance && at->is_listed) {
+            warm[count++] = (struct msg_warm){
+                .address = at->address,
+                .start = at->listed_start,
+            };
+        }
+    }
+    return count;
+}
+
 static void
 send_state(struct sim *sim, bool has_config, uint64_t orderly)
 {
+    struct msg_warm warm[INSTANCES][SEARCHERS];
     struct msg_holder holders[INSTANCES];
     struct msg_state state = {
         .seq = ++sim->state_seq,
@@ -984,6 +1037,8 @@
                 .start = 7,
                 .epoch = sim->epoch[i],
                 .orderly = orderly,
+                .warm = warm[i],
+                .warm_count = list_warm(sim, i, warm[i]),
             };
         }
     }
@@ -1002,6 +1057,7 @@
         if (at->was_out && !is_out) {
             at->told_us = sim->now_us;
             at->cold_busy_us = 0;
+            at->is_expected_warm = false;
         }
         at->was_out = is_out;
     }
@@ -1038,8 +1094,10 @@
     sim->usable_us[instance] =
         sim->now_us + (is_orderly ? 0 : MAX(0, wait_us));
     for (int i = 0; i < SEARCHERS; i++) {
-        if (sim->searchers[i].instance == instance) {
-            sim->searchers[i].told_start = 0;
+        struct sim_searcher *at = &sim->searchers[i];
+        if (at->instance == instance) {
+            at->told_start = 0;
+            at->is_expected_warm = is_orderly && at->is_listed && !at->was_out;
         }
     }
     send_state(sim, false, is_orderly);
@@ -1574,10 +1632,11 @@
 {
     (void)printf("seed=%u steps=%" PRIu64 " decisions=%" PRIu64
                  " virtual_s=%" PRId64 " parts_done=%" PRIu64
-                 " parts_missing=%" PRIu64 " orders_run=%" PRIu64 "\nfaults:",
+                 " parts_missing=%" PRIu64 " orders_run=%" PRIu64
+                 " warm_listed=%" PRIu64 "\nfaults:",
                  sim->seed, sim->steps, sim->decisions,
                  (int64_t)(sim->now_us / SEC - 100), sim->done, sim->missing,
-                 sim->ran);
+                 sim->ran, sim->listed);
     char **names = g_strsplit(fault_names, " ", -1);
     for (int i = 0; i < FAULT_COUNT; i++) {
         (void)printf(" %s=%" PRIu64, names[i], sim->faults[i]);
