--- a/agent/agent.c
+++ b/agent/agent.c
@@ -10,8 +10,9 @@
 
 #define AGENT_TICK_MS 50
 #define AGENT_HTTP_BODY_MAX (2U << 20)
-/* Time for the state "leaving" to spread when nothing is held. */
-#define AGENT_LINGER_US (INT64_C(400) * 1000)
+/* Time for the state "leaving" to spread, and for entry and relay to say
+ * STOPPING when they are stopped together with the agent. */
+#define AGENT_LINGER_US (INT64_C(1000) * 1000)
 
 int64_t
 agent_now_us(void)
@@ -254,7 +255,7 @@
     return age_us >= agent->options->drain_ms * 1000 ||
            (age_us >= AGENT_LINGER_US &&
             ctr_named_count(agent->contracts) == 0 &&
-            !sub_is_entry_stopping(agent->subscribers));
+            !sub_is_any_stopping(agent->subscribers, now_us));
 }
 
 static void
--- a/agent/subscriber.c
+++ b/agent/subscriber.c
@@ -15,6 +15,7 @@
     int64_t ready_us;  /* when the first document was sent, 0 for never */
     bool has_state;    /* the newest STATE went out */
     bool is_stopping;
+    int64_t unreached_us; /* since when no STATE could be sent, 0: it can */
 };
 
 struct sub {
@@ -155,20 +156,26 @@
            now_us - entry->ready_us >= SUB_ENTRY_READY_US;
 }
 
-bool
-sub_is_entry_stopping(const struct sub *subscribers)
-{
-    /* A STATE to a process that has exited cannot be sent. */
-    const struct sub_one *entry = sub_find_role(subscribers, false);
-    return entry != NULL && entry->is_stopping && entry->has_state;
-}
-
 int64_t
 sub_relay_lost_us(const struct sub *subscribers)
 {
     return subscribers->relay_lost_us;
 }
 
+bool
+sub_is_any_stopping(const struct sub *subscribers, int64_t now_us)
+{
+    for (guint i = 0; i < subscribers->ones->len; i++) {
+        const struct sub_one *one = sub_at(subscribers, i);
+        bool is_gone = one->unreached_us != 0 &&
+                       now_us - one->unreached_us >= SUB_GONE_US;
+        if (one->is_stopping && !is_gone) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 sub_is_due(const struct sub *subscribers, int64_t now_us)
 {
@@ -197,7 +204,11 @@
         int rc = prs_send_client(subscribers->peers, &one->client, MSG_STATE,
                                  state);
         one->has_state = rc == RC_OK;
+        if (rc != RC_OK && one->unreached_us == 0) {
+            one->unreached_us = now_us;
+        }
         if (rc == RC_OK) {
+            one->unreached_us = 0;
             one->state_us = now_us;
             one->revision = state->revision;
             if (one->ready_us == 0 && one->revision > 0) {
