Retry an entry's first SUBSCRIBE at the next tick

The first SUBSCRIBE of an entry fails while its link to the agent connects and was sent again only after 500 ms. Until then the entry refused requests with "not_ready" although it accepted connections.

--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -144,6 +144,10 @@
         const struct msg_stopping stopping = {.role = "entry"};
         rc = agl_send(agent, MSG_STOPPING, &stopping);
     }
-    bool is_first = app->config == NULL || rc != RC_OK;
+    if (rc != RC_OK) {
+        /* The link is still connecting: it is tried again at the next tick. */
+        return;
+    }
+    bool is_first = app->config == NULL;
     agent->due_us = now_us + (is_first ? AGL_FIRST_IVL_US : AGL_REPEAT_IVL_US);
 }
