relay: an answer must repeat the id of its request

Cause: an answer to an order carried nothing that tied it to the request. A searcher's late second answer on the same link, arriving after the next request had been sent, could pass for that one's result, or a late 503 for a false "not run". Found by reading; the duplicated answers of tests/system/11 arrive while no request is under way and were refused already.

Change: each request carries a number that the relay uses once, and any answer without it is bad_reply; the stand-in repeats it.

--- a/bench/tables.sh
+++ b/bench/tables.sh
@@ -140,7 +140,7 @@
                 mean = sum[key, c] / n[key]
                 if (mean > 0) worst = (high[key, c] - low[key, c]) / mean
                 print line, n[key],
-                    n[key] > 1 ? sprintf("%.0f %%", worst * 100) : "-"
+                    (n[key] > 1 ? sprintf("%.0f %%", worst * 100) : "-")
             }
         }' SPREAD="${3:-0}" "$DATA/$1.tsv" | markdown
 }
--- a/include/relay/body.h
+++ b/include/relay/body.h
@@ -21,20 +21,24 @@
 };
 
 /* Body of POST /search; free with free(). */
-char *bdy_search_body(const struct job *job, int64_t budget_us);
+char *bdy_search_body(const struct job *job, uint64_t request_id,
+                      int64_t budget_us);
 
 /* Body of POST /execute; free with free(). */
-char *bdy_execute_body(const struct job *job, int64_t budget_us);
+char *bdy_execute_body(const struct job *job, uint64_t request_id,
+                       int64_t budget_us);
 
 /*
  * Read the answer to a search or an order. `answer.rc` is RC_OK,
  * RC_VERSION_GONE (search only), RC_SHED when the searcher says that it did
- * not run the request, or RC_BAD_REPLY.
+ * not run the request, or RC_BAD_REPLY. Any answer that does not repeat
+ * `request_id` is RC_BAD_REPLY: a late second answer to an earlier request on
+ * the same link must not pass for this one, least of all a "not run".
  */
 void bdy_read_search(int http_status, const char *body, size_t body_bytes,
-                     struct bdy_answer *out);
+                     uint64_t request_id, struct bdy_answer *out);
 void bdy_read_execute(int http_status, const char *body, size_t body_bytes,
-                      struct bdy_answer *out);
+                      uint64_t request_id, struct bdy_answer *out);
 
 void bdy_answer_clear(struct bdy_answer *answer);
 
--- a/include/relay/link.h
+++ b/include/relay/link.h
@@ -21,10 +21,11 @@
 struct lnk {
     struct lnk_pool *pool;
     enum lnk_state state;
-    int64_t since_us;  /* when the state began */
-    int64_t proven_us; /* last answer on this link; 0 for none */
-    void *request;     /* of the user, while busy */
-    void *io;          /* of the I/O side */
+    int64_t since_us;    /* when the state began */
+    int64_t proven_us;   /* last answer on this link; 0 for none */
+    void *request;       /* of the user, while busy */
+    uint64_t request_id; /* that the answer must repeat */
+    void *io;            /* of the I/O side */
 };
 
 /* I/O that the pool asks for. connect and probe return RC_OK or the reason
--- a/include/relay/server.h
+++ b/include/relay/server.h
@@ -18,6 +18,7 @@
     struct zsk_socket *agent;   /* client */
     struct hsv_server *operators;
     struct rly *relay;
+    uint64_t request_id; /* of the last request to a searcher */
     struct cnt_set *counters;
     uv_timer_t timer;
     uint64_t timer_ms;
--- a/include/standin/searcher_reply.h
+++ b/include/standin/searcher_reply.h
@@ -6,12 +6,6 @@
 /* Sends the JSON document and releases it. */
 void sre_json(struct wir_conn *conn, int status, json_t *body);
 
-/* Sends 503 {"run": false}. */
-void sre_not_run(struct wir_conn *conn);
-
-/* Sends 409 with the versions that the searcher holds. */
-void sre_version_gone(struct sea *searcher, struct wir_conn *conn);
-
 /*
  * Sends the answer of a finished search or execute and releases it; cut short,
  * doubled or padded if the test asked for that.
--- a/relay/backend.c
+++ b/relay/backend.c
@@ -71,9 +71,10 @@
         rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
+    const struct lnk *link = ctx;
     struct bdy_answer answer;
     bdy_read_search(response->status, response->body, response->body_bytes,
-                    &answer);
+                    link->request_id, &answer);
     answer.answer.is_reusable = response->is_keepalive;
     rly_on_answer(ctx, &answer.answer, srv_now_us());
     bdy_answer_clear(&answer);
@@ -87,14 +88,24 @@
         rly_on_lost(ctx, response->rc, srv_now_us());
         return;
     }
+    const struct lnk *link = ctx;
     struct bdy_answer answer;
     bdy_read_execute(response->status, response->body, response->body_bytes,
-                     &answer);
+                     link->request_id, &answer);
     answer.answer.is_reusable = response->is_keepalive;
     rly_on_answer(ctx, &answer.answer, srv_now_us());
     bdy_answer_clear(&answer);
 }
 
+/* Ids start at 1 for each relay process; a link belongs to one process. */
+static uint64_t
+bkd_next_id(struct lnk *link, struct srv *server)
+{
+    server->request_id += 1;
+    link->request_id = server->request_id;
+    return link->request_id;
+}
+
 static int
 bkd_send(struct lnk *link, const char *path, char *body,
          hcl_response_cb on_response)
@@ -113,7 +124,9 @@
 bkd_search(struct lnk *link, const struct job *job, int64_t budget_us,
            void *ctx)
 {
-    return bkd_send(link, "/search", bdy_search_body(job, budget_us),
+    uint64_t request_id = bkd_next_id(link, ctx);
+    return bkd_send(link, "/search",
+                    bdy_search_body(job, request_id, budget_us),
                     bkd_on_search);
 }
 
@@ -121,6 +134,8 @@
 bkd_execute(struct lnk *link, const struct job *job, int64_t budget_us,
             void *ctx)
 {
-    return bkd_send(link, "/execute", bdy_execute_body(job, budget_us),
+    uint64_t request_id = bkd_next_id(link, ctx);
+    return bkd_send(link, "/execute",
+                    bdy_execute_body(job, request_id, budget_us),
                     bkd_on_executed);
 }
--- a/relay/body.c
+++ b/relay/body.c
@@ -15,12 +15,13 @@
 }
 
 char *
-bdy_search_body(const struct job *job, int64_t budget_us)
+bdy_search_body(const struct job *job, uint64_t request_id, int64_t budget_us)
 {
     json_t *root = json_pack(
-        "{s:I, s:I, s:s, s:I, s:I}", "shard", (json_int_t)job->shard,
-        "version", (json_int_t)job->version, "query", job->text, "limit",
-        (json_int_t)job->limit, "budget_ms", bdy_budget_ms(budget_us));
+        "{s:I, s:I, s:I, s:s, s:I, s:I}", "request", (json_int_t)request_id,
+        "shard", (json_int_t)job->shard, "version", (json_int_t)job->version,
+        "query", job->text, "limit", (json_int_t)job->limit, "budget_ms",
+        bdy_budget_ms(budget_us));
     char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
     json_decref(root);
     return text;
@@ -36,13 +37,14 @@
 }
 
 char *
-bdy_execute_body(const struct job *job, int64_t budget_us)
+bdy_execute_body(const struct job *job, uint64_t request_id, int64_t budget_us)
 {
     json_t *value = bdy_order_value(&job->body);
     if (value == NULL) {
         return NULL;
     }
-    json_t *root = json_pack("{s:s, s:I, s:o, s:I}", "id", job->text, "shard",
+    json_t *root = json_pack("{s:I, s:s, s:I, s:o, s:I}", "request",
+                             (json_int_t)request_id, "id", job->text, "shard",
                              (json_int_t)job->shard, "body", value,
                              "budget_ms", bdy_budget_ms(budget_us));
     char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
@@ -134,22 +136,32 @@
            json_is_false(json_object_get(root, "run"));
 }
 
-static void
-bdy_start(struct bdy_answer *out, const char *body, size_t body_bytes)
+/* Returns false for an answer to another request. */
+static bool
+bdy_start(struct bdy_answer *out, const char *body, size_t body_bytes,
+          uint64_t request_id)
 {
     *out = (struct bdy_answer){
         .answer = {.rc = RC_BAD_REPLY},
         .root = json_loadb(body, body_bytes, 0, NULL),
         .hits = g_array_new(FALSE, FALSE, sizeof(struct msg_hit)),
     };
+    uint64_t answered_id = 0;
+    if (!bdy_read_uint(out->root, "request", &answered_id) ||
+        answered_id != request_id) {
+        return false;
+    }
     out->answer.has_start = bdy_read_start(out->root, &out->answer.start);
+    return true;
 }
 
 void
 bdy_read_search(int http_status, const char *body, size_t body_bytes,
-                struct bdy_answer *out)
+                uint64_t request_id, struct bdy_answer *out)
 {
-    bdy_start(out, body, body_bytes);
+    if (!bdy_start(out, body, body_bytes, request_id)) {
+        return;
+    }
     if (http_status == BDY_HTTP_GONE) {
         out->answer.rc = RC_VERSION_GONE;
     }
@@ -163,9 +175,11 @@
 
 void
 bdy_read_execute(int http_status, const char *body, size_t body_bytes,
-                 struct bdy_answer *out)
+                 uint64_t request_id, struct bdy_answer *out)
 {
-    bdy_start(out, body, body_bytes);
+    if (!bdy_start(out, body, body_bytes, request_id)) {
+        return;
+    }
     const json_t *result = json_object_get(out->root, "result");
     if (bdy_says_not_run(http_status, out->root)) {
         out->answer.rc = RC_SHED;
--- a/standin/searcher.c
+++ b/standin/searcher.c
@@ -94,6 +94,17 @@
     return rc;
 }
 
+/* Repeats the id of the request in its answer. */
+static json_t *
+sea_echo(const struct sea_call *call, json_t *answer)
+{
+    json_t *request = json_object_get(call->body, "request");
+    if (request != NULL) {
+        (void)json_object_set(answer, "request", request);
+    }
+    return answer;
+}
+
 static void
 sea_release(struct sea_call *call)
 {
@@ -138,6 +149,7 @@
     bool is_search = strcmp(call->request.path, "/search") == 0;
     json_t *result =
         is_search ? sea_search_result(call) : sea_execute_result(call);
+    sea_echo(call, result);
     sea_release(call);
     sre_result(searcher, conn, result);
 }
@@ -195,8 +207,9 @@
     if (searcher->in_use >= limit) {
         searcher->stats.shed += 1;
         searcher->stats.shed_cold += searcher->in_use < searcher->slots;
+        json_t *answer = sea_echo(call, json_pack("{s:b}", "run", 0));
         sea_release(call);
-        sre_not_run(call->conn);
+        sre_json(call->conn, 503, answer);
         return;
     }
     searcher->in_use += 1;
@@ -228,8 +241,10 @@
     if (call->shard != searcher->shard ||
         (is_search && !sea_serves(searcher, call->version))) {
         searcher->stats.version_gone += 1;
+        json_t *answer = sea_echo(
+            call, json_pack("{s:o}", "versions", sea_version_list(searcher)));
         sea_release(call);
-        sre_version_gone(searcher, call->conn);
+        sre_json(call->conn, 409, answer);
         return;
     }
     sea_start_work(call, now_us);
--- a/standin/searcher_reply.c
+++ b/standin/searcher_reply.c
@@ -17,20 +17,6 @@
     json_decref(body);
 }
 
-void
-sre_not_run(struct wir_conn *conn)
-{
-    static const char body[] = "{\"run\": false}";
-    wir_respond(conn, 503, body, strlen(body));
-}
-
-void
-sre_version_gone(struct sea *searcher, struct wir_conn *conn)
-{
-    sre_json(conn, 409,
-             json_pack("{s:o}", "versions", sea_version_list(searcher)));
-}
-
 static void
 sre_oversized(struct wir_conn *conn, const char *text)
 {
--- a/tests/relay/test_modules.c
+++ b/tests/relay/test_modules.c
@@ -317,16 +317,18 @@
     lnk_probe_for_order(&test->pool, now_us);
 }
 
-/* search-answer STATUS BODY, execute-answer STATUS BODY */
+#define REQUEST_ID 9
+
+/* search-answer STATUS BODY, execute-answer STATUS BODY: to request 9 */
 static void
 run_read(void *ctx, int argc, char **argv, GString *out)
 {
     struct bdy_answer answer;
     int status = (int)scr_number(argc, argv, 1);
     bool is_search = strcmp(argv[0], "search-answer") == 0;
-    void (*read)(int, const char *, size_t, struct bdy_answer *) =
+    void (*read)(int, const char *, size_t, uint64_t, struct bdy_answer *) =
         is_search ? bdy_read_search : bdy_read_execute;
-    read(status, argv[2], strlen(argv[2]), &answer);
+    read(status, argv[2], strlen(argv[2]), REQUEST_ID, &answer);
     g_string_append_printf(out, "%s", rc_name(answer.answer.rc));
     if (answer.answer.rc == RC_OK && is_search) {
         g_string_append_printf(out, " v=%" PRIu64 " s=%" PRIu64 " hits=%zu",
@@ -366,7 +368,7 @@
         .is_order = true,
         .body = {.data = argv[1], .bytes = strlen(argv[1])},
     };
-    char *body = bdy_execute_body(&job, 1500);
+    char *body = bdy_execute_body(&job, REQUEST_ID, 1500);
     g_string_append(out, body);
     free(body);
 }
