relay: give the order module a prefix of its own

Cause: relay/order.c and entry/order.c both used ord_, and a driver that links both programs' libraries would find two functions of one name.

Change: the relay's is exe_; the request id model names the new function.

Measured: relay-core and relay-modules pass.

--- a/include/relay/order.h
+++ b/include/relay/order.h
@@ -7,7 +7,7 @@
 #include "relay/query.h"
 
 /* One EXEC. */
-struct ord {
+struct exe {
     struct qry_key key; /* must be first */
     struct rly *rly;
     char *id;
@@ -16,13 +16,13 @@
     struct job job;
 };
 
-void ord_start(struct rly *rly, const struct zsk_peer *peer,
+void exe_start(struct rly *rly, const struct zsk_peer *peer,
                const struct msg_exec *exec, int64_t now_us);
 
 /* Ends the order: "not run" while it waits, else "outcome unknown". */
-void ord_expire(struct ord *order, int64_t now_us);
+void exe_expire(struct exe *order, int64_t now_us);
 
 /* Takes an order back that was not sent; one that was sent goes on. */
-void ord_cancel(struct ord *order, int64_t now_us);
+void exe_cancel(struct exe *order, int64_t now_us);
 
 #endif
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -46,7 +46,7 @@
     uint32_t holder_count; /* contracts of the last STATE that name us */
     GHashTable *instances; /* "service\tinstance" -> struct ins */
     GHashTable *queries;   /* struct qry_key -> struct qry */
-    GHashTable *orders;    /* struct qry_key -> struct ord */
+    GHashTable *orders;    /* struct qry_key -> struct exe */
     GHashTable *peers;     /* GBytes -> struct rly_peer */
     struct ddp dedup;
     GByteArray *offered; /* encoded instances of the last OFFER */
--- a/relay/order.c
+++ b/relay/order.c
@@ -6,7 +6,7 @@
 #include "common/rc.h"
 
 static void
-ord_reply(const struct rly *rly, const struct qry_key *key, int rc,
+exe_reply(const struct rly *rly, const struct qry_key *key, int rc,
           const struct dsp_answer *answer)
 {
     const struct msg_exec_reply reply = {
@@ -20,10 +20,10 @@
 }
 
 static void
-ord_on_settled(struct job *job, int rc, const struct dsp_answer *answer,
+exe_on_settled(struct job *job, int rc, const struct dsp_answer *answer,
                int64_t now_us)
 {
-    struct ord *order = job->ctx;
+    struct exe *order = job->ctx;
     struct rly *rly = order->rly;
     if (rc_run(rc) == RC_RUN_NO) {
         CH_INVARIANT(!job->may_have_run);
@@ -32,7 +32,7 @@
     else {
         ddp_end(&rly->dedup, order->id);
     }
-    ord_reply(rly, &order->key, rc, answer);
+    exe_reply(rly, &order->key, rc, answer);
     g_hash_table_remove(rly->orders, &order->key);
     g_free(order->id);
     g_free(order->body);
@@ -41,7 +41,7 @@
 
 /* Why the order is refused before it is looked at, or RC_OK. */
 static int
-ord_check(struct rly *rly, const struct msg_exec *exec, int64_t now_us)
+exe_check(struct rly *rly, const struct msg_exec *exec, int64_t now_us)
 {
     if (rly->cfg == NULL) {
         return RC_NOT_READY;
@@ -58,14 +58,14 @@
     return ddp_begin(&rly->dedup, exec->id, now_us);
 }
 
-static struct ord *
-ord_new(struct rly *rly, const struct qry_key *key,
+static struct exe *
+exe_new(struct rly *rly, const struct qry_key *key,
         const struct msg_exec *exec, int64_t now_us)
 {
     const struct cfg_service *service =
         cfg_service_find(rly->cfg, exec->service);
     int64_t budget_us = MIN(exec->budget_us, service->deadline_max_ms * 1000);
-    struct ord *order = g_new0(struct ord, 1);
+    struct exe *order = g_new0(struct exe, 1);
     order->key = *key;
     order->rly = rly;
     order->id = g_strdup(exec->id);
@@ -80,14 +80,14 @@
         .budget_us = order->deadline_us - now_us,
         .text = order->id,
         .body = {.data = order->body, .bytes = exec->body.bytes},
-        .settled = ord_on_settled,
+        .settled = exe_on_settled,
         .ctx = order,
     };
     return order;
 }
 
 void
-ord_start(struct rly *rly, const struct zsk_peer *peer,
+exe_start(struct rly *rly, const struct zsk_peer *peer,
           const struct msg_exec *exec, int64_t now_us)
 {
     struct qry_key key = {.peer = *peer, .qid = exec->qid};
@@ -95,12 +95,12 @@
         cnt_add(rly->counters, "messages_dropped_total", "duplicate_qid");
         return;
     }
-    int rc = ord_check(rly, exec, now_us);
+    int rc = exe_check(rly, exec, now_us);
     if (rc != RC_OK) {
-        ord_reply(rly, &key, rc, NULL);
+        exe_reply(rly, &key, rc, NULL);
         return;
     }
-    struct ord *order = ord_new(rly, &key, exec, now_us);
+    struct exe *order = exe_new(rly, &key, exec, now_us);
     struct ins *ins = order->job.ins;
     g_hash_table_insert(rly->orders, &order->key, order);
     dsp_submit(&order->job, now_us);
@@ -110,13 +110,13 @@
 }
 
 void
-ord_expire(struct ord *order, int64_t now_us)
+exe_expire(struct exe *order, int64_t now_us)
 {
     dsp_expire(&order->job, now_us);
 }
 
 void
-ord_cancel(struct ord *order, int64_t now_us)
+exe_cancel(struct exe *order, int64_t now_us)
 {
     if (order->job.item.iter != NULL) {
         dsp_abort(&order->job, RC_CANCELLED, now_us);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -67,7 +67,7 @@
     g_ptr_array_free(queries, TRUE);
     GPtrArray *orders = rly_values(rly->orders);
     for (guint i = 0; i < orders->len; i++) {
-        struct ord *order = g_ptr_array_index(orders, i);
+        struct exe *order = g_ptr_array_index(orders, i);
         dsp_abort(&order->job, RC_OUTCOME_UNKNOWN, 0);
     }
     g_ptr_array_free(orders, TRUE);
@@ -153,7 +153,7 @@
 rly_entry_exec(struct rly *rly, const struct zsk_peer *peer, const void *body,
                int64_t now_us)
 {
-    ord_start(rly, peer, body, now_us);
+    exe_start(rly, peer, body, now_us);
 }
 
 static void
@@ -167,9 +167,9 @@
         cnt_add(rly->counters, "cancels_total", NULL);
         qry_cancel(query, now_us);
     }
-    struct ord *order = g_hash_table_lookup(rly->orders, &key);
+    struct exe *order = g_hash_table_lookup(rly->orders, &key);
     if (order != NULL) {
-        ord_cancel(order, now_us);
+        exe_cancel(order, now_us);
     }
 }
 
@@ -440,9 +440,9 @@
     g_ptr_array_free(queries, TRUE);
     GPtrArray *orders = rly_values(rly->orders);
     for (guint i = 0; i < orders->len; i++) {
-        struct ord *order = g_ptr_array_index(orders, i);
+        struct exe *order = g_ptr_array_index(orders, i);
         if (now_us >= order->deadline_us) {
-            ord_expire(order, now_us);
+            exe_expire(order, now_us);
         }
     }
     g_ptr_array_free(orders, TRUE);
--- a/spec/reqid.pml
+++ b/spec/reqid.pml
@@ -142,7 +142,7 @@
     od
 }
 
-/* ord_start() in relay/order.c and the searcher behind it. */
+/* exe_start() in relay/order.c and the searcher behind it. */
 active proctype relay()
 {
     byte qid;
