--- a/agent/options.c
+++ b/agent/options.c
@@ -17,18 +17,7 @@
         .log_level = g_strdup("info"),
     };
     const struct opt_spec specs[] = {
-        {.name = "machine",
-         .kind = OPT_STRING,
-         .target = &options->machine,
-         .help = "Name of this machine",
-         .arg = "NAME",
-         .required = 1},
-        {.name = "zone",
-         .kind = OPT_STRING,
-         .target = &options->zone,
-         .help = "Zone of this machine",
-         .arg = "NAME",
-         .required = 1},
+        OPT_MACHINE_SPECS(options),
         {.name = "cell",
          .kind = OPT_STRING,
          .target = &options->cell,
@@ -78,11 +67,6 @@
          .help = "Longest time of a planned stop in ms (15000)",
          .arg = "MS",
          .max = 600000},
-        {.name = "log-level",
-         .kind = OPT_STRING,
-         .target = &options->log_level,
-         .help = "error, warn, info or debug (info)",
-         .arg = "LEVEL"},
     };
     return opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
                      "carobhatch agent");
--- a/include/common/opt.h
+++ b/include/common/opt.h
@@ -26,6 +26,26 @@
     int required;
 };
 
+/* Settings that every process of a machine has; entries of a spec table. */
+#define OPT_MACHINE_SPECS(options)                                            \
+    {.name = "machine",                                                       \
+     .kind = OPT_STRING,                                                      \
+     .target = &(options)->machine,                                           \
+     .help = "Name of this machine",                                          \
+     .arg = "NAME",                                                           \
+     .required = 1},                                                          \
+        {.name = "zone",                                                      \
+         .kind = OPT_STRING,                                                  \
+         .target = &(options)->zone,                                          \
+         .help = "Zone of this machine",                                      \
+         .arg = "NAME",                                                       \
+         .required = 1},                                                      \
+    {                                                                         \
+        .name = "log-level", .kind = OPT_STRING,                              \
+        .target = &(options)->log_level,                                      \
+        .help = "error, warn, info or debug (info)", .arg = "LEVEL"           \
+    }
+
 /*
  * Reads environment and flags into the targets. `*argv` keeps the program's
  * name and the remaining arguments. Returns RC_OK, or RC_USAGE after printing
--- a/relay/backend.c
+++ b/relay/backend.c
@@ -63,38 +63,38 @@
                        bkd_on_status, link);
 }
 
+typedef void (*bkd_read_cb)(int http_status, const char *body,
+                            size_t body_bytes, uint64_t request_id,
+                            struct bdy_answer *out);
+
 static void
-bkd_on_search(struct hcl_conn *conn, const struct hcl_response *response,
-              void *ctx)
+bkd_on_response(struct lnk *link, const struct hcl_response *response,
+                bkd_read_cb read)
 {
     if (response->rc != RC_OK) {
-        rly_on_lost(ctx, response->rc, srv_now_us());
+        rly_on_lost(link, response->rc, srv_now_us());
         return;
     }
-    const struct lnk *link = ctx;
     struct bdy_answer answer;
-    bdy_read_search(response->status, response->body, response->body_bytes,
-                    link->request_id, &answer);
+    read(response->status, response->body, response->body_bytes,
+         link->request_id, &answer);
     answer.answer.is_reusable = response->is_keepalive;
-    rly_on_answer(ctx, &answer.answer, srv_now_us());
+    rly_on_answer(link, &answer.answer, srv_now_us());
     bdy_answer_clear(&answer);
 }
 
+static void
+bkd_on_search(struct hcl_conn *conn, const struct hcl_response *response,
+              void *ctx)
+{
+    bkd_on_response(ctx, response, bdy_read_search);
+}
+
 static void
 bkd_on_executed(struct hcl_conn *conn, const struct hcl_response *response,
                 void *ctx)
 {
-    if (response->rc != RC_OK) {
-        rly_on_lost(ctx, response->rc, srv_now_us());
-        return;
-    }
-    const struct lnk *link = ctx;
-    struct bdy_answer answer;
-    bdy_read_execute(response->status, response->body, response->body_bytes,
-                     link->request_id, &answer);
-    answer.answer.is_reusable = response->is_keepalive;
-    rly_on_answer(ctx, &answer.answer, srv_now_us());
-    bdy_answer_clear(&answer);
+    bkd_on_response(ctx, response, bdy_read_execute);
 }
 
 /* Ids start at 1 for each relay process; a link belongs to one process. */
--- a/relay/options.c
+++ b/relay/options.c
@@ -11,18 +11,7 @@
         .log_level = g_strdup("info"),
     };
     const struct opt_spec specs[] = {
-        {.name = "machine",
-         .kind = OPT_STRING,
-         .target = &options->machine,
-         .help = "Name of this machine",
-         .arg = "NAME",
-         .required = 1},
-        {.name = "zone",
-         .kind = OPT_STRING,
-         .target = &options->zone,
-         .help = "Zone of this machine",
-         .arg = "NAME",
-         .required = 1},
+        OPT_MACHINE_SPECS(options),
         {.name = "listen",
          .kind = OPT_ADDRESS,
          .target = &options->listen,
@@ -41,11 +30,6 @@
          .help = "Address of the local agent (ZeroMQ)",
          .arg = "IPV4:PORT",
          .required = 1},
-        {.name = "log-level",
-         .kind = OPT_STRING,
-         .target = &options->log_level,
-         .help = "error, warn, info or debug",
-         .arg = "LEVEL"},
     };
     return opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
                      "carobhatch relay");
