--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -44,11 +44,14 @@
 
 dep_close() {
     local name status=$?
-    for name in "${!DEP_PIDS[@]}"; do
-        kill -CONT "${DEP_PIDS[$name]}" 2>/dev/null || true
-        kill -KILL "${DEP_PIDS[$name]}" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
+    # The shell would report each killed process on stderr.
+    {
+        for name in "${!DEP_PIDS[@]}"; do
+            kill -CONT "${DEP_PIDS[$name]}" || true
+            kill -KILL "${DEP_PIDS[$name]}" || true
+        done
+        wait || true
+    } 2>/dev/null
     if [ "$status" -eq 0 ] && [ -z "${KEEP_LOGS:-}" ]; then
         rm -rf "$RUN_DIR"
     else
