Remove counters and functions that nothing reads

Cause: a read of the whole change found traffic counters in the ZeroMQ and HTTP client modules that were written on each message and read by nobody (the agent counts its own bytes), and four functions without a caller.

Change: 72 lines deleted; nothing added.

--- a/common/hist.c
+++ b/common/hist.c
@@ -39,18 +39,6 @@
     }
 }
 
-void
-hst_merge(struct hst *hist, const struct hst *other)
-{
-    for (uint32_t i = 0; i < HST_BUCKETS; i++) {
-        hist->counts[i] += other->counts[i];
-    }
-    hist->total += other->total;
-    if (other->max > hist->max) {
-        hist->max = other->max;
-    }
-}
-
 int64_t
 hst_value_at(const struct hst *hist, uint32_t permille)
 {
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -30,8 +30,6 @@
 /* One for all connections: a read is parsed before the next one starts. */
 static char hcl_read_buffer[HCL_READ_BYTES];
 
-static struct hcl_traffic hcl_traffic;
-
 struct hcl_write {
     uv_write_t req;
     GString *data;
@@ -147,7 +145,6 @@
         hcl_fail(conn, RC_LINK_LOST);
         return;
     }
-    hcl_traffic.received_bytes += (uint64_t)nread;
     if (conn->response == NULL) {
         hcl_fail(conn, RC_BAD_REPLY);
         return;
@@ -280,25 +277,11 @@
         g_free(write);
         return RC_LINK_FAILED;
     }
-    hcl_traffic.request_count += 1;
-    hcl_traffic.sent_bytes += write->data->len;
     conn->response = response;
     conn->response_ctx = ctx;
     return RC_OK;
 }
 
-bool
-hcl_is_up(const struct hcl_conn *conn)
-{
-    return conn->is_up && !conn->is_closing;
-}
-
-bool
-hcl_is_busy(const struct hcl_conn *conn)
-{
-    return conn->response != NULL;
-}
-
 void
 hcl_close(struct hcl_conn *conn)
 {
@@ -310,9 +293,3 @@
     conn->response = NULL;
     uv_close((uv_handle_t *)&conn->tcp, hcl_on_closed);
 }
-
-struct hcl_traffic
-hcl_traffic_total(void)
-{
-    return hcl_traffic;
-}
--- a/common/zsock.c
+++ b/common/zsock.c
@@ -31,7 +31,6 @@
     void *handle;
     GPtrArray *sockets;
     uv_prepare_t prepare;
-    struct zsk_traffic traffic;
     uv_idle_t idle;
 };
 
@@ -63,8 +62,6 @@
         }
     }
     int more = zmq_msg_more(&part);
-    socket->context->traffic.received_count += 1;
-    socket->context->traffic.received_bytes += zmq_msg_size(&part);
     socket->receive(socket, &peer, zmq_msg_data(&part), zmq_msg_size(&part),
                     socket->ctx);
     while (more && !socket->is_closed &&
@@ -312,13 +309,5 @@
     if (zmq_send(socket->handle, data, data_bytes, ZMQ_DONTWAIT) < 0) {
         return RC_AGAIN;
     }
-    socket->context->traffic.sent_count += 1;
-    socket->context->traffic.sent_bytes += data_bytes;
     return RC_OK;
 }
-
-struct zsk_traffic
-zsk_context_traffic(const struct zsk_context *context)
-{
-    return context->traffic;
-}
--- a/include/common/hist.h
+++ b/include/common/hist.h
@@ -21,9 +21,6 @@
 /* Adds one value; negative values count as 0. */
 void hst_add(struct hst *hist, int64_t value);
 
-/* Adds all values of `other`. */
-void hst_merge(struct hst *hist, const struct hst *other);
-
 /* The value at `permille` (990 is p99), 0 for an empty histogram. */
 int64_t hst_value_at(const struct hst *hist, uint32_t permille);
 
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -51,23 +51,10 @@
                 const char *extra_headers, const void *body, size_t body_bytes,
                 hcl_response_cb response, void *ctx);
 
-bool hcl_is_up(const struct hcl_conn *conn);
-
-bool hcl_is_busy(const struct hcl_conn *conn);
-
 /*
  * Closes the connection; a request in flight is cancelled and its callback is
  * not called.
  */
 void hcl_close(struct hcl_conn *conn);
 
-/* Requests and bytes on the wire of all connections of this process. */
-struct hcl_traffic {
-    uint64_t request_count;
-    uint64_t sent_bytes;
-    uint64_t received_bytes;
-};
-
-struct hcl_traffic hcl_traffic_total(void);
-
 #endif
--- a/include/common/zsock.h
+++ b/include/common/zsock.h
@@ -49,14 +49,4 @@
 
 void zsk_close(struct zsk_socket *socket);
 
-/* Messages and payload bytes of all sockets of a context since its start. */
-struct zsk_traffic {
-    uint64_t sent_count;
-    uint64_t sent_bytes;
-    uint64_t received_count;
-    uint64_t received_bytes;
-};
-
-struct zsk_traffic zsk_context_traffic(const struct zsk_context *context);
-
 #endif
