Count a cancelled request until the searcher has closed its link

Two ways were found in which a searcher can get more requests than it has slots. A process that is paused in the middle of a callback goes on with the time it read before the pause and sends requests after its lease has ended. And a cancelled request freed its slot after a fixed 3 ms, whether or not the searcher had seen the close. Ruled out: requests of the paused holder that still ran (service time 2 ms, successor waits 1.2 s), and the order of reads in the stand-in (a trial that stopped the searchers 100 times for 20 ms under load with hedges shed nothing).

Change: the lease is compared with a clock read at the moment of the send. A cancelled request is closed by shutting down the sending side; its slot stays taken, and its contract unreleased, until the searcher closes its side, 250 ms at most.

Conclusion: slots are counted by what the searcher has seen. A pause between the second check and the system call remains possible.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -12,6 +12,7 @@
 struct hcl_conn {
     uv_tcp_t tcp;
     uv_connect_t connect_req;
+    uv_shutdown_t shutdown_req;
     http_parser parser;
     char *host;
     size_t max_body_bytes;
@@ -23,6 +24,7 @@
     GByteArray *body;
     bool is_up;
     bool is_closing;
+    bool is_shut_down;
     bool is_complete;
     bool is_too_large;
 };
@@ -145,6 +147,9 @@
         hcl_fail(conn, RC_LINK_LOST);
         return;
     }
+    if (conn->is_shut_down) {
+        return;
+    }
     if (conn->response == NULL) {
         hcl_fail(conn, RC_BAD_REPLY);
         return;
@@ -242,7 +247,7 @@
             const char *extra_headers, const void *body, size_t body_bytes,
             hcl_response_cb response, void *ctx)
 {
-    if (!conn->is_up || conn->is_closing) {
+    if (!conn->is_up || conn->is_closing || conn->is_shut_down) {
         return RC_LINK_FAILED;
     }
     if (conn->response != NULL) {
@@ -282,6 +287,25 @@
     return RC_OK;
 }
 
+static void
+hcl_on_shut_down(uv_shutdown_t *req, int status)
+{
+    /* A failure also ends the read side, which reports it. */
+}
+
+int
+hcl_shut_down(struct hcl_conn *conn)
+{
+    if (!conn->is_up || conn->is_closing ||
+        uv_shutdown(&conn->shutdown_req, (uv_stream_t *)&conn->tcp,
+                    hcl_on_shut_down) != 0) {
+        return RC_LINK_LOST;
+    }
+    conn->is_shut_down = true;
+    conn->response = NULL;
+    return RC_OK;
+}
+
 void
 hcl_close(struct hcl_conn *conn)
 {
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -55,6 +55,14 @@
  * Closes the connection; a request in flight is cancelled and its callback is
  * not called.
  */
+/*
+ * Ends the sending side; the response of the current request is discarded and
+ * its callback not called. `lost` is called when the peer closes its side, or
+ * the connection fails. Returns RC_OK, or RC_LINK_LOST when the connection is
+ * not up.
+ */
+int hcl_shut_down(struct hcl_conn *conn);
+
 void hcl_close(struct hcl_conn *conn);
 
 #endif
--- a/include/relay/backend.h
+++ b/include/relay/backend.h
@@ -11,6 +11,7 @@
 
 int bkd_connect(struct lnk *link, void *ctx);
 int bkd_probe(struct lnk *link, void *ctx);
+int bkd_shut_down(struct lnk *link, void *ctx);
 void bkd_close(struct lnk *link, void *ctx);
 int bkd_search(struct lnk *link, const struct job *job, int64_t budget_us,
                void *ctx);
--- a/include/relay/link.h
+++ b/include/relay/link.h
@@ -14,6 +14,7 @@
     LNK_IDLE,
     LNK_PROBING, /* GET /status is unanswered */
     LNK_BUSY,    /* carries a request */
+    LNK_CLOSING, /* its request was cancelled; the searcher may still run it */
 };
 
 struct lnk_pool;
@@ -29,10 +30,13 @@
 };
 
 /* I/O that the pool asks for. connect and probe return RC_OK or the reason
- * why nothing was started. */
+ * why nothing was started. shut_down ends the sending side, discards what
+ * still arrives and reports the end of the connection as lost; it returns
+ * RC_OK or RC_LINK_LOST. */
 struct lnk_calls {
     int (*connect)(struct lnk *link, void *ctx);
     int (*probe)(struct lnk *link, void *ctx);
+    int (*shut_down)(struct lnk *link, void *ctx);
     void (*close)(struct lnk *link, void *ctx);
 };
 
@@ -40,6 +44,7 @@
     GPtrArray *links;
     uint32_t max;         /* links, connecting ones included */
     uint32_t idle_target; /* open ahead of need */
+    uint32_t closing;     /* links in LNK_CLOSING */
     const struct lnk_calls *calls;
     void *ctx;
     void *owner;
@@ -52,6 +57,10 @@
 
 /* A probe or connection attempt unanswered for this long ends the link. */
 #define LNK_SILENT_US 1000000
+/* A searcher that has not closed its end of a cancelled request's link by then
+ * is taken to have finished: a lost packet is sent again after about 200 ms.
+ */
+#define LNK_CLOSING_MAX_US 250000
 /* Age of the proof from which an idle link must be probed: together with
  * LNK_SILENT_US and two ticks it stays below 2 s. */
 #define LNK_PROBE_MUST_US 800000
@@ -72,7 +81,8 @@
 void lnk_pool_configure(struct lnk_pool *pool, uint32_t connections,
                         uint32_t slots);
 
-/* Closes links that carry no request until at most `keep` are left. */
+/* Closes links that carry no request and no cancelled one until at most `keep`
+ * are left. */
 void lnk_close_idle(struct lnk_pool *pool, uint32_t keep, int64_t now_us);
 
 /* Closes all links. */
@@ -93,13 +103,24 @@
 /* Marks an idle link as carrying `request`. */
 void lnk_take(struct lnk *link, void *request, int64_t now_us);
 
+/* Gives back a link that was taken and on which nothing was sent. */
+void lnk_untake(struct lnk *link, int64_t now_us);
+
+/*
+ * Cancels the request of a busy link by closing the sending side. The link
+ * stays until the searcher closes its side as well, so that the request counts
+ * until the searcher has seen the close. `reason` labels the counter.
+ */
+void lnk_cancel(struct lnk *link, const char *reason, int64_t now_us);
+
 void lnk_on_connected(struct lnk *link, int rc, int64_t now_us);
 
 /* A request or probe was answered; a link that cannot be reused is closed. */
 void lnk_on_answer(struct lnk *link, bool is_reusable, int64_t now_us);
 
 /* The link ended by itself or was silent: as lnk_drop(), and new links wait
- * for a backoff if this one never answered. */
+ * for a backoff if this one never answered. Also the end of a cancelled
+ * request's link. */
 void lnk_on_lost(struct lnk *link, const char *reason, int64_t now_us);
 
 /* Closes and frees the link; `reason` labels the counter. */
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -22,7 +22,8 @@
 struct rly_calls {
     struct lnk_calls link;
     /* Sends a request on the link. Returns RC_OK, or the reason why no byte
-     * was handed over. */
+     * was handed over: RC_NOT_HOLDER if the lease ended between the decision
+     * and the call, since the process may have been paused in between. */
     int (*search)(struct lnk *link, const struct job *job, int64_t budget_us,
                   void *ctx);
     int (*execute)(struct lnk *link, const struct job *job, int64_t budget_us,
--- a/include/relay/searcher.h
+++ b/include/relay/searcher.h
@@ -28,7 +28,6 @@
     char *address;
     uint32_t slots;
     uint32_t in_flight; /* requests on links */
-    GArray *held_until; /* int64_t: slots of requests cancelled just now */
     bool is_zone_in;
     bool is_leaving;
     bool is_removed; /* no longer declared; freed when nothing runs */
@@ -50,14 +49,11 @@
     SCH_ANSWERED,
     SCH_DECLINED,  /* does not serve the version any more */
     SCH_SHED,      /* refused or failed, with an answer */
-    SCH_CANCELLED, /* by us; the link was closed */
+    SCH_CANCELLED, /* by us */
     SCH_FAILED,    /* the link was lost or silent */
     SCH_UNSENT,    /* no byte was sent */
 };
 
-/* A cancelled request keeps its slot this long: the searcher may see the next
- * request, on another link, before it sees the close. */
-#define SCH_CANCEL_HOLD_US 3000
 /* A searcher without an answer for this long is not offered. */
 #define SCH_LOST_US 3000000
 /* From this many requests without an answer on, others are preferred. */
@@ -107,6 +103,10 @@
 /* In service and answering. */
 bool sch_is_offered(const struct sch *sch, int64_t now_us);
 
+/* Slots in use, those of cancelled requests included whose link the searcher
+ * has not closed yet: it may see the next request, on another link, first. */
+uint32_t sch_used(const struct sch *sch);
+
 /* Whether a request may start now: RC_OK, RC_LIMIT or RC_ZONE_OUT. */
 int sch_may_start(struct sch *sch, int64_t now_us);
 
--- a/relay/backend.c
+++ b/relay/backend.c
@@ -34,6 +34,12 @@
     return rc;
 }
 
+int
+bkd_shut_down(struct lnk *link, void *ctx)
+{
+    return hcl_shut_down(link->io);
+}
+
 void
 bkd_close(struct lnk *link, void *ctx)
 {
@@ -107,12 +113,18 @@
 }
 
 static int
-bkd_send(struct lnk *link, const char *path, char *body,
-         hcl_response_cb on_response)
+bkd_send(const struct srv *server, struct lnk *link, const char *path,
+         char *body, hcl_response_cb on_response)
 {
     if (body == NULL) {
         return RC_LINK_FAILED;
     }
+    /* The process may have been paused since the caller looked at the clock.
+     */
+    if (!rly_has_lease(server->relay, srv_now_us())) {
+        free(body);
+        return RC_NOT_HOLDER;
+    }
     int rc = hcl_request(link->io, "POST", path, NULL, body, strlen(body),
                          on_response, link);
     free(body);
@@ -125,7 +137,7 @@
            void *ctx)
 {
     uint64_t request_id = bkd_next_id(link, ctx);
-    return bkd_send(link, "/search",
+    return bkd_send(ctx, link, "/search",
                     bdy_search_body(job, request_id, budget_us),
                     bkd_on_search);
 }
@@ -135,7 +147,7 @@
             void *ctx)
 {
     uint64_t request_id = bkd_next_id(link, ctx);
-    return bkd_send(link, "/execute",
+    return bkd_send(ctx, link, "/execute",
                     bdy_execute_body(job, request_id, budget_us),
                     bkd_on_executed);
 }
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -123,7 +123,7 @@
         if (att != NULL) {
             struct lnk *link = att->link;
             att_end(att, SCH_CANCELLED, now_us);
-            lnk_drop(link, rc_name(RC_CANCELLED), now_us);
+            lnk_cancel(link, rc_name(RC_CANCELLED), now_us);
         }
     }
 }
@@ -135,7 +135,7 @@
     if (job->is_order && job->may_have_run) {
         return RC_OUTCOME_UNKNOWN;
     }
-    if (!ins_is_active(job->ins, now_us)) {
+    if (rc == RC_NOT_HOLDER || !ins_is_active(job->ins, now_us)) {
         return RC_NOT_HOLDER;
     }
     if (job->attempt_count >= DSP_ATTEMPTS_MAX) {
@@ -161,6 +161,7 @@
 {
     /* Once it may have run, a later "not run" says nothing about the whole. */
     bool is_not_run = rc == RC_LINK_FAILED || rc == RC_SHED ||
+                      rc == RC_NOT_HOLDER ||
                       (rc == RC_VERSION_GONE && !job->is_order);
     if (!is_not_run) {
         CH_INVARIANT(rc_run(rc) != RC_RUN_NO);
@@ -227,11 +228,17 @@
     int rc = job->is_order
                  ? rly->calls->execute(link, job, budget_us, rly->ctx)
                  : rly->calls->search(link, job, budget_us, rly->ctx);
-    if (rc != RC_OK) {
-        att_end(att, SCH_UNSENT, now_us);
+    if (rc == RC_OK) {
+        return;
+    }
+    att_end(att, SCH_UNSENT, now_us);
+    if (rc == RC_NOT_HOLDER) {
+        lnk_untake(link, now_us);
+    }
+    else {
         lnk_on_lost(link, rc_name(rc), now_us);
-        job_attempt_failed(job, rc, now_us);
     }
+    job_attempt_failed(job, rc, now_us);
 }
 
 static bool
@@ -414,6 +421,18 @@
            now_us - att->started_us >= MAX(LNK_SILENT_US, usual_us);
 }
 
+static void
+dsp_give_up(struct lnk *link, int64_t now_us)
+{
+    struct att *att = link->request;
+    struct job *job = att->job;
+    struct ins *ins = job->ins;
+    att_end(att, SCH_FAILED, now_us);
+    lnk_cancel(link, "silent", now_us);
+    job_attempt_failed(job, RC_LINK_LOST, now_us);
+    dsp_pump(ins, now_us);
+}
+
 static void
 dsp_close_silent(struct ins *ins, int64_t now_us)
 {
@@ -422,7 +441,7 @@
         const struct att *att = g_ptr_array_index(ins->running, i);
         if (att_is_silent(att, now_us)) {
             /* This may end and start others: look again from the oldest. */
-            dsp_on_lost(att->link, RC_LINK_LOST, now_us);
+            dsp_give_up(att->link, now_us);
             i = 0;
         }
         else {
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -264,6 +264,18 @@
     ins->rly->calls->send_agent(MSG_RELEASED, &released, ins->rly->ctx);
 }
 
+/* Whether a request, or a cancelled one, may run at some searcher. */
+static bool
+ins_is_running(const struct ins *ins)
+{
+    for (guint i = 0; i < ins->searchers->len; i++) {
+        if (sch_used(g_ptr_array_index(ins->searchers, i)) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 ins_release_if_done(struct ins *ins, int64_t now_us)
 {
@@ -275,7 +287,7 @@
         return;
     }
     /* Requests of the holder before may run until then. */
-    if (ins->state != INS_DRAINING || ins->running->len > 0 ||
+    if (ins->state != INS_DRAINING || ins_is_running(ins) ||
         now_us < ins->usable_at_us) {
         return;
     }
@@ -296,7 +308,7 @@
     guint i = 0;
     while (i < ins->searchers->len) {
         struct sch *sch = g_ptr_array_index(ins->searchers, i);
-        if (sch->is_removed && sch->in_flight == 0) {
+        if (sch->is_removed && sch_used(sch) == 0) {
             g_ptr_array_remove_index(ins->searchers, i);
             continue;
         }
--- a/relay/link.c
+++ b/relay/link.c
@@ -70,7 +70,12 @@
 lnk_drop(struct lnk *link, const char *reason, int64_t now_us)
 {
     struct lnk_pool *pool = link->pool;
-    cnt_add(pool->counters, "links_closed_total", reason);
+    if (link->state == LNK_CLOSING) {
+        pool->closing -= 1;
+    }
+    else {
+        cnt_add(pool->counters, "links_closed_total", reason);
+    }
     pool->calls->close(link, pool->ctx);
     CH_INVARIANT(g_ptr_array_remove_fast(pool->links, link));
 }
@@ -92,7 +97,7 @@
 {
     /* A searcher that accepts connections but answers none is not worth a
      * new one at each tick. */
-    if (link->proven_us == 0) {
+    if (link->proven_us == 0 && link->state != LNK_CLOSING) {
         lnk_back_off(link->pool, now_us);
     }
     lnk_drop(link, reason, now_us);
@@ -119,7 +124,8 @@
     if (now_us < pool->retry_at_us) {
         return;
     }
-    uint32_t ahead = pool->links->len - lnk_count(pool, LNK_BUSY);
+    uint32_t ahead =
+        pool->links->len - lnk_count(pool, LNK_BUSY) - pool->closing;
     /* A searcher that refused the last attempt is tried with one link. */
     uint32_t target = pool->backoff_us > 0 && lnk_up_count(pool) == 0
                           ? 1
@@ -143,18 +149,34 @@
     return false;
 }
 
+/* How long the link may stay in its state. */
+static int64_t
+lnk_patience_us(const struct lnk *link)
+{
+    switch (link->state) {
+    case LNK_CONNECTING:
+    case LNK_PROBING:
+        return LNK_SILENT_US;
+    case LNK_CLOSING:
+        return LNK_CLOSING_MAX_US;
+    default:
+        return INT64_MAX;
+    }
+}
+
 static void
 lnk_close_silent(struct lnk_pool *pool, int64_t now_us)
 {
     guint i = 0;
     while (i < pool->links->len) {
         struct lnk *link = g_ptr_array_index(pool->links, i);
-        bool is_waiting =
-            link->state == LNK_CONNECTING || link->state == LNK_PROBING;
-        if (!is_waiting || now_us - link->since_us < LNK_SILENT_US) {
+        if (now_us - link->since_us < lnk_patience_us(link)) {
             i += 1;
             continue;
         }
+        if (link->state == LNK_CLOSING) {
+            cnt_add(pool->counters, "cancels_unconfirmed_total", NULL);
+        }
         lnk_on_lost(link, "silent", now_us);
     }
 }
@@ -197,7 +219,7 @@
     guint i = 0;
     while (i < pool->links->len && pool->links->len > keep) {
         struct lnk *link = g_ptr_array_index(pool->links, i);
-        if (link->state == LNK_BUSY) {
+        if (link->state == LNK_BUSY || link->state == LNK_CLOSING) {
             i += 1;
         }
         else {
@@ -267,6 +289,29 @@
     lnk_set(link, LNK_BUSY, now_us);
 }
 
+void
+lnk_untake(struct lnk *link, int64_t now_us)
+{
+    CH_INVARIANT(link->state == LNK_BUSY);
+    link->request = NULL;
+    lnk_set(link, LNK_IDLE, now_us);
+}
+
+void
+lnk_cancel(struct lnk *link, const char *reason, int64_t now_us)
+{
+    struct lnk_pool *pool = link->pool;
+    CH_INVARIANT(link->state == LNK_BUSY);
+    link->request = NULL;
+    if (pool->calls->shut_down(link, pool->ctx) != RC_OK) {
+        lnk_drop(link, reason, now_us);
+        return;
+    }
+    cnt_add(pool->counters, "links_closed_total", reason);
+    lnk_set(link, LNK_CLOSING, now_us);
+    pool->closing += 1;
+}
+
 void
 lnk_on_connected(struct lnk *link, int rc, int64_t now_us)
 {
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -389,9 +389,13 @@
     if (link->state == LNK_BUSY) {
         dsp_on_lost(link, rc, now_us);
         ins_release_if_done(ins, now_us);
+        return;
     }
-    else {
-        lnk_on_lost(link, rc_name(rc), now_us);
+    bool is_slot_free = link->state == LNK_CLOSING;
+    lnk_on_lost(link, rc_name(rc), now_us);
+    if (is_slot_free) {
+        dsp_pump(ins, now_us);
+        ins_release_if_done(ins, now_us);
     }
 }
 
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -22,7 +22,6 @@
     sch->zone = g_strdup(searcher->zone);
     sch->address = g_strdup(searcher->address);
     sch->slots = (uint32_t)service->slots;
-    sch->held_until = g_array_new(FALSE, FALSE, sizeof(int64_t));
     sch->owner = owner;
     sch->counters = counters;
     cold_init(&sch->cold, (uint32_t)service->cold_share_permille,
@@ -36,7 +35,6 @@
 sch_free(struct sch *sch)
 {
     lnk_pool_clear(&sch->pool);
-    g_array_free(sch->held_until, TRUE);
     g_free(sch->name);
     g_free(sch->zone);
     g_free(sch->address);
@@ -170,20 +168,10 @@
            now_us - sch->answered_us < SCH_LOST_US;
 }
 
-/* Slots in use, those of requests cancelled just now included. */
-static uint32_t
-sch_used(struct sch *sch, int64_t now_us)
+uint32_t
+sch_used(const struct sch *sch)
 {
-    guint i = 0;
-    while (i < sch->held_until->len) {
-        if (g_array_index(sch->held_until, int64_t, i) <= now_us) {
-            g_array_remove_index_fast(sch->held_until, i);
-        }
-        else {
-            i += 1;
-        }
-    }
-    return sch->in_flight + sch->held_until->len;
+    return sch->in_flight + sch->pool.closing;
 }
 
 int
@@ -192,7 +180,7 @@
     if (!sch_is_in(sch)) {
         return RC_ZONE_OUT;
     }
-    uint32_t used = sch_used(sch, now_us);
+    uint32_t used = sch_used(sch);
     if (used >= sch->slots || !cold_may_start(&sch->cold, used, now_us)) {
         return RC_LIMIT;
     }
@@ -226,7 +214,7 @@
 void
 sch_on_start(struct sch *sch, int64_t now_us)
 {
-    uint32_t used = sch_used(sch, now_us);
+    uint32_t used = sch_used(sch);
     CH_INVARIANT(sch->is_zone_in);
     CH_INVARIANT(!sch->is_leaving);
     CH_INVARIANT(!sch->status.is_draining);
@@ -252,8 +240,6 @@
 sch_note_closed(struct sch *sch, bool is_failed, int64_t latency_us,
                 int64_t now_us)
 {
-    int64_t until_us = now_us + SCH_CANCEL_HOLD_US;
-    g_array_append_val(sch->held_until, until_us);
     sch->unanswered_count += 1;
     bool is_slow = cold_is_slow(&sch->cold, latency_us);
     if (is_slow) {
--- a/relay/server.c
+++ b/relay/server.c
@@ -112,7 +112,10 @@
 }
 
 static const struct rly_calls srv_calls = {
-    .link = {.connect = bkd_connect, .probe = bkd_probe, .close = bkd_close},
+    .link = {.connect = bkd_connect,
+             .probe = bkd_probe,
+             .shut_down = bkd_shut_down,
+             .close = bkd_close},
     .search = bkd_search,
     .execute = bkd_execute,
     .send_entry = srv_send_entry,
--- a/tests/relay/test_modules.c
+++ b/tests/relay/test_modules.c
@@ -227,9 +227,18 @@
     g_string_append(test->out, "close ");
 }
 
+static int
+on_shut_down(struct lnk *link, void *ctx)
+{
+    struct module_test *test = ctx;
+    g_string_append(test->out, "shut-down ");
+    return RC_OK;
+}
+
 static const struct lnk_calls calls = {
     .connect = on_connect,
     .probe = on_probe,
+    .shut_down = on_shut_down,
     .close = on_close,
 };
 
