Take a searcher for cold after two refusals within a second

The relay wants four slow parts in a row. The searcher gets few parts, since the other replica answers sooner; of parts that overlap only one counts; and a part in two is not above 4 times the norm. Ruled out: the rule that parts of one pause count once as the only cause (it halves the samples, which was wanted).

Change: two requests shed within a second turn the searcher cold. The relay keeps to the slots, so a refusal says that the searcher bears less.

Conclusion: detection no longer depends on how many parts the searcher gets. Tried and dropped: a score that normal parts lower by one instead of clearing it; the scripted test forbids it, and sheds were the better sign.

--- a/include/relay/cold.h
+++ b/include/relay/cold.h
@@ -6,9 +6,10 @@
 
 /*
  * Cold-start curve of one searcher. A searcher is cold after its first
- * contact, after a new start id and after several slow parts in a row. Its
- * share of the slots then rises linearly from `share_permille` to 1000. Only
- * an orderly handover that names its start id makes it warm at first contact.
+ * contact, after a new start id, after several slow parts in a row and after
+ * two refusals. Its share of the slots then rises linearly from
+ * `share_permille` to 1000. Only an orderly handover that names its start id
+ * makes it warm at first contact.
  */
 struct cold {
     uint32_t share_permille;
@@ -24,6 +25,7 @@
     uint32_t norm_samples; /* up to COLD_NORM_SAMPLES */
     uint32_t slow_run;     /* slow parts in a row */
     int64_t slow_us;       /* when the last of them ended */
+    int64_t shed_us;       /* when a request was shed, 0 for none */
     int64_t next_start_us; /* pacing while the share is below one slot */
 };
 
@@ -32,6 +34,9 @@
 /* One straggler in 100 makes four in a row a chance of 1 in 10^8. */
 #define COLD_SLOW_RUN 4
 #define COLD_SLOW_FACTOR 4
+/* A searcher that sheds twice in this time, although we keep to its slots,
+ * says itself that it can bear less. */
+#define COLD_SHED_WINDOW_US 1000000
 
 void cold_init(struct cold *cold, uint32_t share_permille, int64_t ramp_us,
                uint32_t slots);
@@ -65,6 +70,9 @@
  */
 bool cold_note_slow(struct cold *cold, int64_t started_us, int64_t now_us);
 
+/* Notes a request that was shed. Returns true when it turned cold. */
+bool cold_note_shed(struct cold *cold, int64_t started_us, int64_t now_us);
+
 /* True for a latency that counts as slow. */
 bool cold_is_slow(const struct cold *cold, int64_t latency_us);
 
--- a/include/relay/searcher.h
+++ b/include/relay/searcher.h
@@ -48,7 +48,8 @@
 enum sch_end {
     SCH_ANSWERED,
     SCH_DECLINED,  /* does not serve the version any more */
-    SCH_SHED,      /* refused or failed, with an answer */
+    SCH_SHED,      /* refused as overloaded */
+    SCH_ERROR,     /* failed, with an answer */
     SCH_CANCELLED, /* by us */
     SCH_FAILED,    /* the link was lost or silent */
     SCH_UNSENT,    /* no byte was sent */
--- a/relay/cold.c
+++ b/relay/cold.c
@@ -33,6 +33,7 @@
     cold->is_expected = false;
     cold->since_us = now_us;
     cold->slow_run = 0;
+    cold->shed_us = 0;
     /* Idle time that is still owed stays owed. */
     if (cold->next_start_us < now_us) {
         cold->next_start_us = now_us;
@@ -94,6 +95,17 @@
     return true;
 }
 
+bool
+cold_note_shed(struct cold *cold, int64_t started_us, int64_t now_us)
+{
+    if (cold->shed_us == 0 || now_us - cold->shed_us > COLD_SHED_WINDOW_US) {
+        cold->shed_us = now_us;
+        return cold_note_slow(cold, started_us, now_us);
+    }
+    cold_restart(cold, now_us);
+    return true;
+}
+
 bool
 cold_note_latency(struct cold *cold, int64_t latency_us, int64_t now_us)
 {
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -338,9 +338,12 @@
     if (rc == RC_OK) {
         return SCH_ANSWERED;
     }
+    if (rc == RC_SHED) {
+        return SCH_SHED;
+    }
     /* A cold searcher also fails under load, so errors count as slow parts;
      * a version that went does not. */
-    return rc == RC_VERSION_GONE ? SCH_DECLINED : SCH_SHED;
+    return rc == RC_VERSION_GONE ? SCH_DECLINED : SCH_ERROR;
 }
 
 void
--- a/relay/searcher.c
+++ b/relay/searcher.c
@@ -259,6 +259,9 @@
     sch->answered_us = now_us;
     sch->unanswered_count = 0;
     if (end == SCH_SHED) {
+        return cold_note_shed(&sch->cold, now_us - latency_us, now_us);
+    }
+    if (end == SCH_ERROR) {
         return cold_note_slow(&sch->cold, now_us - latency_us, now_us);
     }
     if (end == SCH_DECLINED) {
--- a/tests/relay/test_modules.c
+++ b/tests/relay/test_modules.c
@@ -82,6 +82,17 @@
     note_latencies(ctx, argc, argv, 0, out);
 }
 
+/* cold-shed TIME */
+static void
+run_cold_shed(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    gint64 now_us = scr_number(argc, argv, 1) * MS;
+    g_string_append_printf(
+        out, "turned_cold=%d",
+        cold_note_shed(&test->cold, now_us - MS / 2, now_us));
+}
+
 static void
 run_cold_at(void *ctx, int argc, char **argv, GString *out)
 {
@@ -387,6 +398,7 @@
     {"cold-start", run_cold_start},
     {"cold-latency", run_cold_latency},
     {"cold-pause", run_cold_pause},
+    {"cold-shed", run_cold_shed},
     {"cold-at", run_cold_at},
     {"cold-run", run_cold_run},
     {"hedge", run_hedge},
