agent: drop an entry or relay that no send reaches for 1 s

Cause: when only the relay or entry process of a machine was killed, the agent noticed it by its silence, after 4.5 to 6 s, although sends to a client without a connection fail at once.

Change: a subscriber that no send reached for 1 s is dropped. The LEASE that must pass before the contracts move counts from the first failed send, because nothing was given to the relay after it. A failed LEASE is followed by STATE until that goes out. Entry and relay repeat SUBSCRIBE each 500 ms instead of 2 s, so that a living process that reconnects is known again within the bound.

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -150,7 +150,7 @@
             .revision = rev_number(agent->revision),
             .lease_until_us = agent->published_until_us,
         };
-        sub_send_lease(agent->subscribers, &lease);
+        sub_send_lease(agent->subscribers, now_us, &lease);
     }
 }
 
@@ -305,6 +305,14 @@
     }
 }
 
+static int
+agent_send_client(void *ctx, const struct zsk_peer *client, enum msg_type type,
+                  const void *body)
+{
+    const struct agent *agent = ctx;
+    return prs_send_client(agent->peers, client, type, body);
+}
+
 static void
 agent_open_modules(struct agent *agent, int64_t now_us)
 {
@@ -366,7 +374,7 @@
             RC_OK) {
         return RC_IO;
     }
-    agent->subscribers = sub_new(agent->peers, agent->counters);
+    agent->subscribers = sub_new(agent_send_client, agent, agent->counters);
     agent->cell = agent_cell_new(agent);
     agent->poll = agent_poll_new(agent);
     uv_timer_init(loop, &agent->timer);
--- a/agent/subscriber.c
+++ b/agent/subscriber.c
@@ -15,11 +15,12 @@
     int64_t ready_us;  /* when the first document was sent, 0 for never */
     bool has_state;    /* the newest STATE went out */
     bool is_stopping;
-    int64_t unreached_us; /* since when no STATE could be sent, 0: it can */
+    int64_t unreached_us; /* since when nothing could be sent, 0: it can */
 };
 
 struct sub {
-    struct prs *peers;
+    sub_send_cb send;
+    void *ctx;
     struct cnt_set *counters;
     GPtrArray *ones;
     int64_t relay_lost_us;
@@ -28,10 +29,11 @@
 };
 
 struct sub *
-sub_new(struct prs *peers, struct cnt_set *counters)
+sub_new(sub_send_cb send, void *ctx, struct cnt_set *counters)
 {
     struct sub *subscribers = g_new0(struct sub, 1);
-    subscribers->peers = peers;
+    subscribers->send = send;
+    subscribers->ctx = ctx;
     subscribers->counters = counters;
     subscribers->ones = g_ptr_array_new_with_free_func(g_free);
     subscribers->relay_lost_us = INT64_MIN / 2;
@@ -124,15 +126,19 @@
 {
     for (guint i = subscribers->ones->len; i > 0; i--) {
         const struct sub_one *one = sub_at(subscribers, i - 1);
-        if (now_us - one->heard_us < SUB_SILENCE_US) {
+        bool is_unreached = one->unreached_us != 0 &&
+                            now_us - one->unreached_us >= SUB_UNREACHED_US;
+        if (!is_unreached && now_us - one->heard_us < SUB_SILENCE_US) {
             continue;
         }
-        log_warn("subscriber", "silent role=%s",
-                 one->is_relay ? "relay" : "entry");
+        log_warn("subscriber", "dropped role=%s reason=%s",
+                 one->is_relay ? "relay" : "entry",
+                 is_unreached ? "unreachable" : "silent");
         cnt_add(subscribers->counters, "subscribers_dropped_total",
                 one->is_relay ? "relay" : "entry");
         if (one->is_relay) {
-            subscribers->relay_lost_us = now_us;
+            subscribers->relay_lost_us =
+                is_unreached ? one->unreached_us : now_us;
         }
         g_ptr_array_remove_index(subscribers->ones, i - 1);
     }
@@ -188,6 +194,20 @@
     return false;
 }
 
+static int
+sub_send(struct sub *subscribers, struct sub_one *one, int64_t now_us,
+         enum msg_type type, const void *body)
+{
+    int rc = subscribers->send(subscribers->ctx, &one->client, type, body);
+    if (rc == RC_OK) {
+        one->unreached_us = 0;
+    }
+    else if (one->unreached_us == 0) {
+        one->unreached_us = now_us;
+    }
+    return rc;
+}
+
 void
 sub_send_state(struct sub *subscribers, int64_t now_us,
                struct msg_state *state)
@@ -201,14 +221,9 @@
         if (one->revision == state->revision) {
             state->config = (struct msg_bin){.bytes = 0};
         }
-        int rc = prs_send_client(subscribers->peers, &one->client, MSG_STATE,
-                                 state);
+        int rc = sub_send(subscribers, one, now_us, MSG_STATE, state);
         one->has_state = rc == RC_OK;
-        if (rc != RC_OK && one->unreached_us == 0) {
-            one->unreached_us = now_us;
-        }
         if (rc == RC_OK) {
-            one->unreached_us = 0;
             one->state_us = now_us;
             one->revision = state->revision;
             if (one->ready_us == 0 && one->revision > 0) {
@@ -219,13 +234,15 @@
 }
 
 void
-sub_send_lease(struct sub *subscribers, const struct msg_lease *lease)
+sub_send_lease(struct sub *subscribers, int64_t now_us,
+               const struct msg_lease *lease)
 {
     for (guint i = 0; i < subscribers->ones->len; i++) {
-        const struct sub_one *one = sub_at(subscribers, i);
+        struct sub_one *one = sub_at(subscribers, i);
         if (one->has_state) {
-            (void)prs_send_client(subscribers->peers, &one->client, MSG_LEASE,
-                                  lease);
+            /* After a failure STATE is tried until it goes out. */
+            one->has_state =
+                sub_send(subscribers, one, now_us, MSG_LEASE, lease) == RC_OK;
         }
     }
 }
--- a/entry/agent_link.c
+++ b/entry/agent_link.c
@@ -4,8 +4,9 @@
 #include "common/rc.h"
 #include "entry/agent_link.h"
 
-#define AGL_FIRST_IVL_US (500 * 1000)       /* until the first STATE */
-#define AGL_REPEAT_IVL_US (2 * 1000 * 1000) /* afterwards */
+/* The agent drops an entry that it cannot reach for 1 s (SUB_UNREACHED_US);
+ * after a reconnect it needs a SUBSCRIBE to reach it again. */
+#define AGL_SUBSCRIBE_IVL_US (500 * 1000)
 
 struct agl {
     struct app *app;
@@ -148,6 +149,5 @@
         /* The link is still connecting: it is tried again at the next tick. */
         return;
     }
-    bool is_first = app->config == NULL;
-    agent->due_us = now_us + (is_first ? AGL_FIRST_IVL_US : AGL_REPEAT_IVL_US);
+    agent->due_us = now_us + AGL_SUBSCRIBE_IVL_US;
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -5,8 +5,9 @@
 #include "common/log.h"
 #include "common/rc.h"
 
-#define RLY_SUBSCRIBE_FIRST_US 500000
-#define RLY_SUBSCRIBE_US 2000000
+/* The agent drops a relay that it cannot reach for 1 s (SUB_UNREACHED_US);
+ * after a reconnect it needs a SUBSCRIBE to reach it again. */
+#define RLY_SUBSCRIBE_US 500000
 /* Ids live 10 minutes at their entry. */
 #define RLY_ID_KEEP_US (11LL * 60 * 1000000)
 #define RLY_IDS_MAX 500000
@@ -451,9 +452,8 @@
 static void
 rly_subscribe(struct rly *rly, int64_t now_us)
 {
-    int64_t interval_us =
-        rly->has_state ? RLY_SUBSCRIBE_US : RLY_SUBSCRIBE_FIRST_US;
-    if (rly->subscribed_us != 0 && now_us - rly->subscribed_us < interval_us) {
+    if (rly->subscribed_us != 0 &&
+        now_us - rly->subscribed_us < RLY_SUBSCRIBE_US) {
         return;
     }
     const struct msg_subscribe subscribe = {
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -12,12 +12,14 @@
 #include "agent/lease.h"
 #include "agent/member.h"
 #include "agent/revision.h"
+#include "agent/subscriber.h"
 #include "common/rc.h"
 #include "script.h"
 
 #define START 1
 #define MACHINES 3
 #define WARM_MAX 4
+#define SUBSCRIBERS 4
 
 /* The modules of machine m0, start 1, and what they asked to be done. */
 struct world {
@@ -29,6 +31,8 @@
     struct rev *revision;
     struct mbr *members;
     struct gsp *gossip;
+    struct sub *subscribers;
+    bool is_unreached[SUBSCRIBERS]; /* by the first byte of the client */
     struct ctr_machine machines[MACHINES];
     struct ctr_view view;
     int64_t accepted_us; /* of every holder but m0 */
@@ -141,6 +145,18 @@
     return RC_OK;
 }
 
+static int
+on_send_client(void *ctx, const struct zsk_peer *client, enum msg_type type,
+               const void *body)
+{
+    struct world *world = ctx;
+    int rc = world->is_unreached[client->id[0]] ? RC_AGAIN : RC_OK;
+    g_string_append_printf(world->out, "%s to %d: %s\n",
+                           type == MSG_STATE ? "state" : "lease",
+                           client->id[0], rc_name(rc));
+    return rc;
+}
+
 static void
 world_clear(struct world *world)
 {
@@ -149,6 +165,7 @@
     rev_free(world->revision);
     mbr_free(world->members);
     gsp_free(world->gossip);
+    sub_free(world->subscribers);
     cnt_set_free(world->counters);
 }
 
@@ -197,6 +214,7 @@
     world->revision = rev_new(world->now_us, parse_number, world->counters);
     world->members = mbr_new(&self, world->now_us);
     world->gossip = gsp_new(on_random, world);
+    world->subscribers = sub_new(on_send_client, world, world->counters);
 }
 
 static void
@@ -632,6 +650,76 @@
                            messages, picked);
 }
 
+/* > subscribe ROLE START CLIENT */
+static void
+run_subscribe(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    const struct msg_subscribe message = {
+        .role = argv[1],
+        .start = (uint64_t)scr_number(argc, argv, 2),
+    };
+    const struct zsk_peer peer = {
+        .id = {(uint8_t)scr_number(argc, argv, 3)},
+        .id_bytes = 1,
+    };
+    const struct prs_from from = {.peer = &peer};
+    g_string_append_printf(
+        out, "replaced=%d",
+        sub_on_subscribe(world->subscribers, world->now_us, &from, &message));
+}
+
+/* > reach CLIENT 0|1: whether sends to it succeed */
+static void
+run_reach(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->is_unreached[scr_number(argc, argv, 1)] =
+        scr_number(argc, argv, 2) == 0;
+}
+
+/* > send-state */
+static void
+run_send_state(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->out = out;
+    struct msg_state state = {.revision = 1};
+    sub_send_state(world->subscribers, world->now_us, &state);
+}
+
+static void
+run_send_lease(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->out = out;
+    const struct msg_lease lease = {.revision = 1};
+    sub_send_lease(world->subscribers, world->now_us, &lease);
+}
+
+/* > subscribers: after a tick */
+static void
+run_subscribers(void *ctx, int argc, char **argv, GString *out)
+{
+    static const char *const relays[] = {
+        [SUB_RELAY_NONE] = "none",
+        [SUB_RELAY_STOPPING] = "stopping",
+        [SUB_RELAY_UP] = "up",
+    };
+    struct world *world = ctx;
+    const struct sub *subscribers = world->subscribers;
+    sub_tick(world->subscribers, world->now_us);
+    g_string_append_printf(out, "relay=%s entry_ready=%d due=%d",
+                           relays[sub_relay_state(subscribers)],
+                           sub_is_entry_ready(subscribers, world->now_us),
+                           sub_is_due(subscribers, world->now_us));
+    if (sub_relay_lost_us(subscribers) > 0) {
+        g_string_append_printf(
+            out, " lost_ms=%" PRId64,
+            (world->now_us - sub_relay_lost_us(subscribers)) / 1000);
+    }
+}
+
 static const struct scr_command commands[] = {
     {"new", run_new},
     {"wait", run_wait},
@@ -660,6 +748,11 @@
     {"member", run_member},
     {"members", run_members},
     {"gossip", run_gossip},
+    {"subscribe", run_subscribe},
+    {"reach", run_reach},
+    {"send-state", run_send_state},
+    {"send-lease", run_send_lease},
+    {"subscribers", run_subscribers},
 };
 
 static void
@@ -689,6 +782,12 @@
     run_script(SCRIPT_DIR "/members.txt");
 }
 
+static void
+test_subscriber(void **state)
+{
+    run_script(SCRIPT_DIR "/subscriber.txt");
+}
+
 int
 main(void)
 {
@@ -696,6 +795,7 @@
         cmocka_unit_test(test_lease),
         cmocka_unit_test(test_contract),
         cmocka_unit_test(test_members),
+        cmocka_unit_test(test_subscriber),
     };
     return cmocka_run_group_tests_name("agent", tests, NULL, NULL);
 }
