agent: take the cell's members and version from peers

Cause: the cell object travelled only by the store. An agent that started while the store was down knew no cell and did not vote; after a change whose store failed before all had read it, members refused beats of the older version that the others could not replace.

Change: CELL_PULL and CELL carry members and version between agents, as PULL and CONFIG do for the document. The writer of a version sends CELL before its first beat of that version. An agent that has no version takes one only if a majority of its members besides itself states it, because it may have adopted a newer one before it restarted; a cell change counts only members that had the version for one LEASE since their start and acknowledge beats of the last second. A voter without a list of contracts knows no newer epoch.

Conclusion: a version that was written is adopted without the store.

--- a/agent/cell.c
+++ b/agent/cell.c
@@ -63,6 +63,62 @@
     g_ptr_array_free(names, TRUE);
 }
 
+void
+agent_cell_describe(const struct agent *agent,
+                    struct msg_member members[LSE_CELL_MAX],
+                    struct msg_cell *out)
+{
+    *out = (struct msg_cell){
+        .cell = agent->options->cell,
+        .machine = agent->options->machine,
+        .version = lse_cell_version(agent->lease),
+        .members = members,
+        .member_count = lse_member_count(agent->lease),
+    };
+    for (size_t i = 0; i < out->member_count; i++) {
+        members[i].machine = lse_member(agent->lease, i);
+    }
+}
+
+void
+agent_cell_on_peer(struct agent_cell *cell, int64_t now_us,
+                   const struct msg_cell *message)
+{
+    const struct agent *agent = cell->agent;
+    if (strcmp(message->cell, agent->options->cell) != 0) {
+        cnt_add(agent->counters, "cell_refused_total", "other_cell");
+        return;
+    }
+    int rc = lse_on_cell(agent->lease, now_us, message);
+    if (rc == RC_OK) {
+        log_info("cell", "adopted version=%lu members=%zu source=peer",
+                 (unsigned long)message->version, message->member_count);
+    }
+    else if (rc == RC_INVALID) {
+        cnt_add(agent->counters, "cell_refused_total", rc_name(rc));
+    }
+}
+
+/*
+ * Tells the members of a version that this machine wrote. Its beats make them
+ * refuse older versions, so the content goes before the first beat: they
+ * could not read it if the store failed now.
+ */
+static void
+cel_announce(const struct agent_cell *cell)
+{
+    struct agent *agent = cell->agent;
+    struct msg_member members[LSE_CELL_MAX];
+    struct msg_cell message;
+    agent_cell_describe(agent, members, &message);
+    for (size_t i = 0; i < message.member_count; i++) {
+        if (strcmp(members[i].machine, agent->options->machine) != 0) {
+            agent_send_to_machine(agent, members[i].machine, MSG_CELL,
+                                  &message);
+        }
+    }
+}
+
 static void
 cel_on_write(void *ctx, const struct sto_reply *reply)
 {
@@ -71,6 +127,9 @@
     if (reply->rc == RC_OK || reply->rc == RC_CONFLICT) {
         cell->is_missing = false;
         cel_adopt(cell, reply->body);
+        if (reply->rc == RC_OK) {
+            cel_announce(cell);
+        }
     }
     else {
         cell->read_us = INT64_MIN / 2;
--- a/agent/contract.c
+++ b/agent/contract.c
@@ -816,6 +816,9 @@
 ctr_has_newer_epoch(const struct ctr *contracts, const char *holder,
                     uint64_t start, int64_t since_us)
 {
+    if (!contracts->is_listed) {
+        return false; /* it may have contracts that were not read yet */
+    }
     for (size_t i = 0; i < contracts->contracts->len; i++) {
         const struct ctr_contract *contract = ctr_at(contracts, i);
         if (contract->version > 0 && contract->start == start &&
--- a/agent/dispatch.c
+++ b/agent/dispatch.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "agent/agent.h"
 #include "common/log.h"
@@ -20,6 +21,21 @@
     }
 }
 
+/* Asks the sender for its version of the cell if that is newer. */
+static void
+dsp_note_cell(struct agent *agent, const struct prs_from *from,
+              uint64_t version)
+{
+    if (lse_should_pull_cell(agent->lease, version)) {
+        const struct msg_cell_pull pull = {
+            .cell = agent->options->cell,
+            .version = lse_cell_version(agent->lease),
+        };
+        cnt_add(agent->counters, "cell_pulls_total", NULL);
+        (void)prs_reply(agent->peers, from, MSG_CELL_PULL, &pull);
+    }
+}
+
 static void
 dsp_on_beat(struct agent *agent, const struct prs_from *from, const void *body,
             int64_t now_us)
@@ -32,6 +48,7 @@
     if (beat->state == MSG_MACHINE_LEAVING) {
         mbr_on_leaving(agent->members, now_us, beat->machine, beat->start);
     }
+    dsp_note_cell(agent, from, beat->cell_version);
     dsp_note_revision(agent, from, beat->revision, now_us);
 }
 
@@ -41,6 +58,7 @@
 {
     const struct msg_beat_ack *ack = body;
     (void)lse_on_ack(agent->lease, now_us, ack);
+    dsp_note_cell(agent, from, ack->cell_version);
     dsp_note_revision(agent, from, ack->revision, now_us);
 }
 
@@ -89,6 +107,28 @@
                              NULL);
 }
 
+static void
+dsp_on_cell_pull(struct agent *agent, const struct prs_from *from,
+                 const void *body, int64_t now_us)
+{
+    const struct msg_cell_pull *pull = body;
+    if (strcmp(pull->cell, agent->options->cell) != 0 ||
+        pull->version >= lse_cell_version(agent->lease)) {
+        return;
+    }
+    struct msg_member members[LSE_CELL_MAX];
+    struct msg_cell cell;
+    agent_cell_describe(agent, members, &cell);
+    (void)prs_reply(agent->peers, from, MSG_CELL, &cell);
+}
+
+static void
+dsp_on_cell(struct agent *agent, const struct prs_from *from, const void *body,
+            int64_t now_us)
+{
+    agent_cell_on_peer(agent->cell, now_us, body);
+}
+
 static void
 dsp_on_members(struct agent *agent, const struct prs_from *from,
                const void *body, int64_t now_us)
@@ -134,11 +174,18 @@
 }
 
 static const dsp_handler dsp_handlers[MSG_TYPE_COUNT] = {
-    [MSG_BEAT] = dsp_on_beat,         [MSG_BEAT_ACK] = dsp_on_ack,
-    [MSG_ASK] = dsp_on_ask,           [MSG_VOTE] = dsp_on_vote,
-    [MSG_PULL] = dsp_on_pull,         [MSG_CONFIG] = dsp_on_config,
-    [MSG_MEMBERS] = dsp_on_members,   [MSG_SUBSCRIBE] = dsp_on_subscribe,
-    [MSG_RELEASED] = dsp_on_released, [MSG_STOPPING] = dsp_on_stopping,
+    [MSG_BEAT] = dsp_on_beat,
+    [MSG_BEAT_ACK] = dsp_on_ack,
+    [MSG_ASK] = dsp_on_ask,
+    [MSG_VOTE] = dsp_on_vote,
+    [MSG_PULL] = dsp_on_pull,
+    [MSG_CONFIG] = dsp_on_config,
+    [MSG_MEMBERS] = dsp_on_members,
+    [MSG_SUBSCRIBE] = dsp_on_subscribe,
+    [MSG_RELEASED] = dsp_on_released,
+    [MSG_STOPPING] = dsp_on_stopping,
+    [MSG_CELL_PULL] = dsp_on_cell_pull,
+    [MSG_CELL] = dsp_on_cell,
 };
 
 void
--- a/agent/lease.c
+++ b/agent/lease.c
@@ -13,8 +13,19 @@
 
 struct lse_member_state {
     char *name;
-    uint64_t acked_seq;       /* of this machine's beats */
-    uint64_t adopted_version; /* as its last acknowledgement says */
+    uint64_t acked_seq; /* of this machine's beats */
+    /* What its acknowledgements say of the version that it adopted. */
+    uint64_t start;
+    uint64_t adopted_version;
+    int64_t adopted_us;  /* since when this start has had it */
+    int64_t answered_us; /* when the newest answered beat was sent */
+};
+
+/* A version that peers state while this machine has adopted none. */
+struct lse_offer {
+    uint64_t version;
+    GPtrArray *members;           /* names */
+    bool is_stated[LSE_CELL_MAX]; /* by the member */
 };
 
 /* One start of a machine: the key of the tables below. */
@@ -52,8 +63,9 @@
     uint64_t cell_version_seen;
     struct lse_member_state members[LSE_CELL_MAX];
     size_t member_count;
-    int64_t adopted_since_us; /* -1 until a majority adopted the version */
-    GHashTable *former;       /* names */
+    int64_t cell_us; /* when this machine adopted the version */
+    struct lse_offer offer;
+    GHashTable *former; /* names */
     uint64_t seq;
     uint64_t first_seq; /* of the current cell version */
     int64_t beat_us;
@@ -110,7 +122,7 @@
     lease->callbacks = *callbacks;
     lease->counters = counters;
     lease->announce.state = MSG_MACHINE_LIVE;
-    lease->adopted_since_us = -1;
+    lease->offer.members = g_ptr_array_new_with_free_func(g_free);
     lease->beat_us = now_us - LSE_BEAT_US;
     lease->refused_us = -1;
     lease->nonce = start;
@@ -140,6 +152,7 @@
         return;
     }
     lse_members_clear(lease);
+    g_ptr_array_free(lease->offer.members, TRUE);
     g_hash_table_destroy(lease->former);
     g_hash_table_destroy(lease->records);
     g_hash_table_destroy(lease->rounds);
@@ -221,7 +234,7 @@
     lease->member_count = member_count;
     lease->cell_version = version;
     lease->cell_version_seen = MAX(lease->cell_version_seen, version);
-    lease->adopted_since_us = -1;
+    lease->cell_us = now_us;
     /* Acknowledgements and votes count only within one version. */
     lease->first_seq = lease->seq + 1;
     lease->beat_us = now_us - LSE_BEAT_US;
@@ -229,17 +242,78 @@
     return RC_OK;
 }
 
+bool
+lse_should_pull_cell(const struct lse *lease, uint64_t version)
+{
+    return version > lease->cell_version;
+}
+
+/* Notes the statement; true when it completes a majority without this one. */
+static bool
+lse_offer_take(struct lse *lease, const struct msg_cell *message)
+{
+    struct lse_offer *offer = &lease->offer;
+    if (message->version > offer->version) {
+        offer->version = message->version;
+        g_ptr_array_set_size(offer->members, 0);
+        for (size_t i = 0; i < message->member_count; i++) {
+            g_ptr_array_add(offer->members,
+                            g_strdup(message->members[i].machine));
+        }
+        memset(offer->is_stated, 0, sizeof(offer->is_stated));
+    }
+    if (message->version < offer->version) {
+        return false;
+    }
+    size_t stated = 0;
+    for (guint i = 0; i < offer->members->len; i++) {
+        const char *name = g_ptr_array_index(offer->members, i);
+        offer->is_stated[i] |= strcmp(name, message->machine) == 0 &&
+                               strcmp(name, lease->machine) != 0;
+        stated += offer->is_stated[i];
+    }
+    return stated >= offer->members->len / 2 + 1;
+}
+
+int
+lse_on_cell(struct lse *lease, int64_t now_us, const struct msg_cell *message)
+{
+    if (message->version <= lease->cell_version) {
+        return RC_STALE;
+    }
+    if (message->member_count == 0 || message->member_count > LSE_CELL_MAX) {
+        return RC_INVALID;
+    }
+    if (lease->cell_version == 0 && !lse_offer_take(lease, message)) {
+        return RC_AGAIN;
+    }
+    const char *members[LSE_CELL_MAX];
+    for (size_t i = 0; i < message->member_count; i++) {
+        members[i] = message->members[i].machine;
+    }
+    return lse_set_cell(lease, now_us, message->version, members,
+                        message->member_count);
+}
+
 static void
-lse_note_adoption(struct lse *lease, int64_t now_us)
+lse_note_adoption(struct lse *lease, struct lse_member_state *member,
+                  int64_t now_us, const struct msg_beat_ack *ack)
 {
-    size_t adopted = 0;
-    for (size_t i = 0; i < lease->member_count; i++) {
-        adopted += strcmp(lease->members[i].name, lease->machine) == 0 ||
-                   lease->members[i].adopted_version == lease->cell_version;
+    if (ack->seq > lease->seq || ack->seq + LSE_SENT_COUNT <= lease->seq ||
+        ack->seq == 0) {
+        return;
+    }
+    int64_t sent_us = lease->sent_us[ack->seq % LSE_SENT_COUNT];
+    if (sent_us < member->answered_us) {
+        return; /* overtaken by a newer acknowledgement */
     }
-    if (adopted >= lse_majority(lease) && lease->adopted_since_us < 0) {
-        lease->adopted_since_us = now_us;
+    if (member->start != ack->start ||
+        member->adopted_version != ack->cell_version) {
+        member->start = ack->start;
+        member->adopted_version = ack->cell_version;
+        member->adopted_us = now_us;
     }
+    member->answered_us = sent_us;
 }
 
 static void
@@ -353,7 +427,6 @@
         .state = lease->announce.state,
     };
     lse_send_all(lease, MSG_BEAT, &beat);
-    lse_note_adoption(lease, now_us);
     /* A cell of one needs no acknowledgement, only the restart silence. */
     if (now_us - lease->started_us >= LSE_LEASE_US) {
         (void)lse_renew(lease, now_us);
@@ -448,8 +521,7 @@
     if (member == NULL) {
         return false;
     }
-    member->adopted_version = ack->cell_version;
-    lse_note_adoption(lease, now_us);
+    lse_note_adoption(lease, member, now_us, ack);
     if (ack->accepted != 1) {
         if (ack->cell_version == lease->cell_version) {
             lease->refused_us = now_us;
@@ -656,6 +728,19 @@
 bool
 lse_cell_may_change(const struct lse *lease, int64_t now_us)
 {
-    return lease->cell_version > 0 && lease->adopted_since_us >= 0 &&
-           now_us - lease->adopted_since_us >= LSE_LEASE_US;
+    if (lease->cell_version == 0) {
+        return false;
+    }
+    size_t adopted = 0;
+    for (size_t i = 0; i < lease->member_count; i++) {
+        const struct lse_member_state *member = &lease->members[i];
+        if (strcmp(member->name, lease->machine) == 0) {
+            adopted += now_us - lease->cell_us >= LSE_LEASE_US;
+            continue;
+        }
+        adopted += member->adopted_version == lease->cell_version &&
+                   now_us - member->adopted_us >= LSE_LEASE_US &&
+                   now_us - member->answered_us <= LSE_ADOPTED_US;
+    }
+    return adopted >= lse_majority(lease);
 }
--- a/common/msg.c
+++ b/common/msg.c
@@ -126,6 +126,11 @@
 DESC(msg_members, U64(msg_members, revision), U64(msg_members, digest),
      LIST(msg_members, machines, machine_count, msg_machine_desc))
 DESC(msg_lease, U64(msg_lease, revision), I64(msg_lease, lease_until_us))
+DESC(msg_cell_pull, STR(msg_cell_pull, cell), U64(msg_cell_pull, version))
+DESC(msg_member, STR(msg_member, machine))
+DESC(msg_cell, STR(msg_cell, cell), STR(msg_cell, machine),
+     U64(msg_cell, version),
+     LIST(msg_cell, members, member_count, msg_member_desc))
 
 static const struct msg_desc *const msg_descs[MSG_TYPE_COUNT] = {
     [MSG_HELLO] = &msg_hello_desc,
@@ -149,6 +154,8 @@
     [MSG_CONFIG] = &msg_config_desc,
     [MSG_MEMBERS] = &msg_members_desc,
     [MSG_LEASE] = &msg_lease_desc,
+    [MSG_CELL_PULL] = &msg_cell_pull_desc,
+    [MSG_CELL] = &msg_cell_desc,
 };
 
 static void msg_pack_fields(msgpack_packer *packer,
--- a/include/agent/agent.h
+++ b/include/agent/agent.h
@@ -100,6 +100,13 @@
 struct agent_cell *agent_cell_new(struct agent *agent);
 void agent_cell_free(struct agent_cell *cell);
 void agent_cell_tick(struct agent_cell *cell, int64_t now_us);
+/* Takes a version that a peer adopted. */
+void agent_cell_on_peer(struct agent_cell *cell, int64_t now_us,
+                        const struct msg_cell *message);
+/* Fills the message with the adopted version; `members` is its storage. */
+void agent_cell_describe(const struct agent *agent,
+                         struct msg_member members[LSE_CELL_MAX],
+                         struct msg_cell *out);
 
 /* agent/poll.c: lists on timers, watches as hints. */
 struct agent_poll *agent_poll_new(struct agent *agent);
--- a/include/agent/lease.h
+++ b/include/agent/lease.h
@@ -23,6 +23,12 @@
  * its vote and may acknowledge beats again one LEASE later.
  */
 #define LSE_ROUND_US (INT64_C(600) * 1000)
+/*
+ * A member counts as one that adopted the cell's version while it acknowledges
+ * beats that are at most this old: a member that restarted may have forgotten
+ * the version.
+ */
+#define LSE_ADOPTED_US (INT64_C(1000) * 1000)
 /* Larger cells would send too many beats. */
 #define LSE_CELL_MAX 15
 
@@ -63,6 +69,19 @@
 int lse_set_cell(struct lse *lease, int64_t now_us, uint64_t version,
                  const char *const *members, size_t member_count);
 
+/*
+ * Takes a version that a peer adopted. An agent that has adopted none waits
+ * until a majority of the members, itself not counted, have stated the same
+ * version: it may have adopted a newer one before it restarted, on which the
+ * others rely. Returns RC_OK when the version was adopted, RC_AGAIN when more
+ * statements are needed, RC_STALE, or RC_INVALID for a list that cannot be.
+ */
+int lse_on_cell(struct lse *lease, int64_t now_us,
+                const struct msg_cell *message);
+
+/* True when the sender of a message that names `version` is to be asked. */
+bool lse_should_pull_cell(const struct lse *lease, uint64_t version);
+
 /* Sends a beat when one is due. Call it at least every 50 ms. */
 void lse_tick(struct lse *lease, int64_t now_us);
 
@@ -133,7 +152,8 @@
 
 /*
  * True when a majority of the current members adopted the current version at
- * least one LEASE ago, so that no lease of the version before can be valid.
+ * least one LEASE ago and have not restarted since, so that no lease of the
+ * version before can be valid or become valid.
  */
 bool lse_cell_may_change(const struct lse *lease, int64_t now_us);
 
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -34,6 +34,8 @@
     MSG_CONFIG,
     MSG_MEMBERS,
     MSG_LEASE,
+    MSG_CELL_PULL,
+    MSG_CELL,
     MSG_TYPE_COUNT,
 };
 
@@ -278,6 +280,24 @@
     int64_t lease_until_us; /* as in struct msg_state */
 };
 
+struct msg_cell_pull {
+    const char *cell;
+    uint64_t version; /* the one that the sender adopted, 0 for none */
+};
+
+struct msg_member {
+    const char *machine;
+};
+
+/* The version of the cell object that the sender adopted. */
+struct msg_cell {
+    const char *cell;
+    const char *machine; /* the sender */
+    uint64_t version;
+    struct msg_member *members;
+    size_t member_count;
+};
+
 /* A decoded message; `body` points to the struct of `type`. */
 struct msg {
     enum msg_type type;
--- a/tests/agent/soak_agent.c
+++ b/tests/agent/soak_agent.c
@@ -19,7 +19,11 @@
  * same time, a revision that decreases, a document adopted in part, and a
  * system that does not recover once the faults end.
  *
- * Usage: soak_agent SEED STEPS [faults|cells|outage]
+ * The mode "peers" guards against a version of the cell that only the store
+ * can tell: agents restart while it is down, and it fails when only the writer
+ * of a change has its reply.
+ *
+ * Usage: soak_agent SEED STEPS [faults|cells|outage|peers]
  */
 
 #define AGENTS 7
@@ -676,6 +680,49 @@
     }
 }
 
+static void
+agent_note_cell(struct agent *agent, int from, uint64_t version)
+{
+    if (lse_should_pull_cell(agent->lease, version)) {
+        const struct msg_cell_pull pull = {
+            .version = lse_cell_version(agent->lease),
+        };
+        sim_send(agent->sim, agent->index, from, MSG_CELL_PULL, &pull);
+    }
+}
+
+static void
+agent_send_cell(struct agent *agent, int to)
+{
+    struct msg_member members[LSE_CELL_MAX];
+    const struct msg_cell cell = {
+        .machine = agent->name,
+        .version = lse_cell_version(agent->lease),
+        .members = members,
+        .member_count = lse_member_count(agent->lease),
+    };
+    for (size_t i = 0; i < cell.member_count; i++) {
+        members[i].machine = lse_member(agent->lease, i);
+    }
+    sim_send(agent->sim, agent->index, to, MSG_CELL, &cell);
+}
+
+static void
+agent_on_cell_pull(struct agent *agent, int from,
+                   const struct msg_cell_pull *pull)
+{
+    if (pull->version < lse_cell_version(agent->lease)) {
+        agent_send_cell(agent, from);
+    }
+}
+
+static void
+agent_on_ack(struct agent *agent, int from, const struct msg_beat_ack *ack)
+{
+    (void)lse_on_ack(agent->lease, agent_now(agent), ack);
+    agent_note_cell(agent, from, ack->cell_version);
+}
+
 static void
 agent_on_pull(struct agent *agent, int from, const struct msg_pull *pull)
 {
@@ -735,6 +782,7 @@
         mbr_on_leaving(agent->members, agent_now(agent), beat->machine,
                        beat->start);
     }
+    agent_note_cell(agent, from, beat->cell_version);
     agent_note_revision(agent, from, beat->revision);
 }
 
@@ -753,7 +801,7 @@
         agent_on_beat(agent, from, msg.body);
         break;
     case MSG_BEAT_ACK:
-        (void)lse_on_ack(agent->lease, now_us, msg.body);
+        agent_on_ack(agent, from, msg.body);
         break;
     case MSG_ASK:
         if (lse_on_ask(agent->lease, now_us, msg.body, &vote)) {
@@ -773,6 +821,12 @@
     case MSG_MEMBERS:
         agent_on_members(agent, from, msg.body);
         break;
+    case MSG_CELL_PULL:
+        agent_on_cell_pull(agent, from, msg.body);
+        break;
+    case MSG_CELL:
+        (void)lse_on_cell(agent->lease, now_us, msg.body);
+        break;
     default:
         break;
     }
@@ -897,12 +951,28 @@
         if (is_ok) {
             agent_take_cell(agent, &call->results[0]);
         }
+        for (int i = 0; i < AGENTS; i++) {
+            if (call->kind == CALL_PUT_CELL && rc == RC_OK &&
+                i != agent->index) {
+                agent_send_cell(agent, i);
+            }
+        }
         break;
     }
 }
 
 /* Time. */
 
+static uint64_t
+agent_cell_mask(const struct agent *agent)
+{
+    uint64_t members = 0;
+    for (size_t i = 0; i < lse_member_count(agent->lease); i++) {
+        members |= UINT64_C(1) << index_of(lse_member(agent->lease, i));
+    }
+    return members;
+}
+
 /* Members leave and join for no reason, as long as the rules allow it. */
 static void
 agent_change_cell(struct agent *agent)
@@ -915,10 +985,7 @@
     if (!is_wanted || !lse_cell_may_change(agent->lease, agent_now(agent))) {
         return;
     }
-    uint64_t members = 0;
-    for (size_t i = 0; i < lse_member_count(agent->lease); i++) {
-        members |= UINT64_C(1) << index_of(lse_member(agent->lease, i));
-    }
+    uint64_t members = agent_cell_mask(agent);
     uint64_t changed = UINT64_C(1) << agent->index;
     if (lse_is_member(agent->lease, agent->name)) {
         changed = UINT64_C(1) << sim_random(sim, AGENTS);
@@ -1027,6 +1094,23 @@
     }
 }
 
+/* An adopted version has the members that the store has. */
+static void
+agent_check_cell(struct agent *agent)
+{
+    const struct history *cell = &agent->sim->cell;
+    uint64_t version = lse_cell_version(agent->lease);
+    if (version == 0 || version + VERSIONS <= cell->count) {
+        return;
+    }
+    const struct object *object = &cell->versions[(version - 1) % VERSIONS];
+    if (object->version != version ||
+        object->members != agent_cell_mask(agent)) {
+        sim_fail(agent->sim, "members are not those of the version",
+                 agent->index);
+    }
+}
+
 static void
 agent_tick(struct agent *agent)
 {
@@ -1050,6 +1134,7 @@
     ctr_tick(agent->contracts, now_us, agent_view(agent));
     agent_release(agent, now_us);
     agent_check_revision(agent);
+    agent_check_cell(agent);
     if (agent->is_leaving && (ctr_named_count(agent->contracts) == 0 ||
                               now_us - agent->leaving_us > 15000000)) {
         agent_end(agent, 500000);
@@ -1344,12 +1429,68 @@
     }
 }
 
+/* All members of the store's version of the cell have it, and a lease. */
+static void
+sim_check_cell(struct sim *sim, const char *what)
+{
+    const struct object *cell = history_at(&sim->cell, INT64_MAX);
+    for (int i = 0; i < AGENTS; i++) {
+        const struct agent *agent = &sim->agents[i];
+        if (((cell->members >> i) & 1) == 0) {
+            continue;
+        }
+        if (lse_cell_version(agent->lease) != cell->version ||
+            !lse_is_valid(agent->lease, agent_now(agent))) {
+            sim_fail(sim, what, i);
+        }
+    }
+}
+
+/* The store fails in the moment in which the writer learns of its change. */
+static void
+sim_change_and_fail(struct sim *sim, int writer, uint64_t members)
+{
+    struct agent *agent = &sim->agents[writer];
+    uint64_t version = lse_cell_version(agent->lease);
+    if (!lse_cell_may_change(agent->lease, agent_now(agent))) {
+        sim_fail(sim, "a cell without faults may not change", writer);
+    }
+    struct call *call = agent_call(agent, CALL_PUT_CELL, 0);
+    call->expected = version;
+    call->value.members = members;
+    for (int i = 0; i < 100 && lse_cell_version(agent->lease) == version;
+         i++) {
+        sim_step(sim);
+    }
+    sim->is_store_down = true;
+}
+
+static void
+sim_run_peers(struct sim *sim)
+{
+    sim_run(sim, INT64_C(60) * 1000 * 1000);
+    sim->is_store_down = true;
+    /* Without the restarted ones there is no majority. */
+    for (int i = 0; i < AGENTS - 2; i++) {
+        agent_end(&sim->agents[i], 500000);
+        sim_run(sim, INT64_C(5) * 1000 * 1000);
+        sim_check_cell(sim, "a restarted agent does not vote");
+    }
+    sim->is_store_down = false;
+    sim_run(sim, INT64_C(60) * 1000 * 1000);
+    uint64_t all = (UINT64_C(1) << AGENTS) - 1;
+    sim_change_and_fail(sim, 2, all ^ UINT64_C(1));
+    sim_run(sim, INT64_C(3) * 1000 * 1000);
+    sim_check_cell(sim, "a change stays with its writer");
+    sim_check_recovery(sim);
+}
+
 int
 main(int argc, char **argv)
 {
     if (argc < 3) {
-        (void)fprintf(stderr,
-                      "usage: soak_agent SEED STEPS [faults|cells|outage]\n");
+        (void)fprintf(stderr, "usage: soak_agent SEED STEPS "
+                              "[faults|cells|outage|peers]\n");
         return 2;
     }
     const char *mode = argc > 3 ? argv[3] : "faults";
@@ -1364,6 +1505,9 @@
     if (is_outage) {
         sim_run_outage(sim);
     }
+    else if (strcmp(mode, "peers") == 0) {
+        sim_run_peers(sim);
+    }
     else {
         sim_run_faults(sim);
     }
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -243,6 +243,38 @@
     g_string_append(out, rc_name(rc));
 }
 
+/* > told MACHINE VERSION MEMBER...: the machine's version of the cell */
+static void
+run_told(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    struct msg_member members[LSE_CELL_MAX + 1];
+    size_t count = 0;
+    for (int i = 3; i < argc; i++) {
+        members[count++] = (struct msg_member){.machine = argv[i]};
+    }
+    const struct msg_cell message = {
+        .machine = argv[1],
+        .version = (uint64_t)scr_number(argc, argv, 2),
+        .members = members,
+        .member_count = count,
+    };
+    int rc = lse_on_cell(world->lease, world->now_us, &message);
+    g_string_append_printf(out, "%s version=%" PRIu64, rc_name(rc),
+                           lse_cell_version(world->lease));
+}
+
+/* > pulls VERSION: whether a message that names it is followed by a pull */
+static void
+run_pulls(void *ctx, int argc, char **argv, GString *out)
+{
+    const struct world *world = ctx;
+    g_string_append_printf(
+        out, "%d",
+        lse_should_pull_cell(world->lease,
+                             (uint64_t)scr_number(argc, argv, 1)));
+}
+
 static void
 run_tick(void *ctx, int argc, char **argv, GString *out)
 {
@@ -268,13 +300,14 @@
                                         : (ack.accepted ? "ok" : "refused"));
 }
 
-/* > ack MACHINE SEQ CELL-VERSION */
+/* > ack MACHINE SEQ CELL-VERSION [START] */
 static void
 run_ack(void *ctx, int argc, char **argv, GString *out)
 {
     struct world *world = ctx;
     const struct msg_beat_ack ack = {
         .machine = argv[1],
+        .start = argc > 4 ? (uint64_t)scr_number(argc, argv, 4) : 0,
         .seq = (uint64_t)scr_number(argc, argv, 2),
         .cell_version = (uint64_t)scr_number(argc, argv, 3),
         .accepted = 1,
@@ -724,6 +757,8 @@
     {"new", run_new},
     {"wait", run_wait},
     {"cell", run_cell},
+    {"told", run_told},
+    {"pulls", run_pulls},
     {"tick", run_tick},
     {"beat", run_beat},
     {"ack", run_ack},
--- a/tests/system/06-store-down.sh
+++ b/tests/system/06-store-down.sh
@@ -1,6 +1,7 @@
 # Guards against a store outage that stops service, moves contracts or keeps a
 # configuration from spreading that the store accepted without a reply, and
-# against a replaced machine that starts with an old configuration or none.
+# against a replaced machine that starts with an old configuration or none, or
+# that does not vote because it knows no cell.
 . "$(dirname "$0")/lib.sh"
 system_start 3
 load_start load 13 100 --order-permille 200
@@ -48,5 +49,16 @@
 machine_spawn 2 c --peers "$(dep_list agent_address 2)"
 fact "a replaced machine gets the change from its peers" \
     dep_wait 20 revision_is 2 2
+lease_left() {
+    http_get "$(agent_http "$1")/status" | json_number lease_ms_left
+}
+has_lease() { is "$(lease_left "$1")" -gt 0; }
+fact "it gets the cell from its peers" dep_wait 10 has_lease 2
+# Now m0 needs the vote of the replaced machine.
+sleep 2
+machine_signal 1 STOP
+sleep 3
+fact "it votes: m0 keeps its lease without m1" has_lease 0
+machine_signal 1 CONT
 store_admin '{"down":false}'
 facts_of_recovery 0 1 2
