agent: a vote binds its voter for one LEASE, not until a newer epoch

Cause: a voter that said "not heard" refused the holder until it saw a newer epoch. A holder that kept its lease through other members writes none, so after a round that failed the refusal never ended. Besides, the asker was a voter too: it never accepted the holder again and asked for ever, which bound the others anew with each round.

Change: the vote binds for one LEASE, and a bound voter that hears beats answers "heard". This suffices: votes count for 600 ms, so no voter of a majority accepts a beat before that majority has decided; by then the holder's lease has lapsed, and a lease that it gains later is of a new term and needs a new epoch from the store. The callback that looked for a newer epoch is gone.

In the model a refusal now lasts for LEASE ticks and a decision may be used at any later time. A variant with votes that count for longer holds; it is rejected when the refusal is shortened.

Tests: soak_agent mode "votes" (three of seven do not hear a holder for 4 s, hear it again for 5 s, then a fourth machine fails).

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -232,14 +232,6 @@
     agent->is_changed = true;
 }
 
-static bool
-agent_has_newer_epoch(void *ctx, const char *holder, uint64_t start,
-                      int64_t since_us)
-{
-    const struct agent *agent = ctx;
-    return ctr_has_newer_epoch(agent->contracts, holder, start, since_us);
-}
-
 static uint32_t
 agent_random(void *ctx, uint32_t limit)
 {
@@ -319,7 +311,6 @@
     const struct agent_options *options = agent->options;
     const struct lse_callbacks lease = {
         .send = agent_send_to_machine,
-        .has_newer_epoch = agent_has_newer_epoch,
         .ctx = agent,
     };
     const struct ctr_callbacks contracts = {
--- a/agent/contract.c
+++ b/agent/contract.c
@@ -811,21 +811,3 @@
     }
     return false;
 }
-
-bool
-ctr_has_newer_epoch(const struct ctr *contracts, const char *holder,
-                    uint64_t start, int64_t since_us)
-{
-    if (!contracts->is_listed) {
-        return false; /* it may have contracts that were not read yet */
-    }
-    for (size_t i = 0; i < contracts->contracts->len; i++) {
-        const struct ctr_contract *contract = ctr_at(contracts, i);
-        if (contract->version > 0 && contract->start == start &&
-            contract->seen_us <= since_us &&
-            strcmp(contract->machine, holder) == 0) {
-            return false;
-        }
-    }
-    return true;
-}
--- a/agent/lease.c
+++ b/agent/lease.c
@@ -36,11 +36,13 @@
 
 /* What this machine as a voter knows of one start of a machine. */
 struct lse_record {
-    struct lse_id id;      /* first, so that the record is its own key */
-    int64_t heard_us;      /* any beat, -1 for never */
-    int64_t accepted_us;   /* acknowledged beat, -1 for never */
-    int64_t unanswered_us; /* beat during this voter's silence, -1 for none */
-    int64_t voted_us;      /* when it said "not heard", -1 if it has not */
+    struct lse_id id;    /* first, so that the record is its own key */
+    int64_t heard_us;    /* any beat, -1 for never */
+    int64_t accepted_us; /* acknowledged beat, -1 for never */
+    /* Beat that only this voter's silence or vote kept from being accepted, -1
+     * for none. */
+    int64_t unanswered_us;
+    int64_t voted_us; /* when it said "not heard", -1 if it has not */
 };
 
 /* One question to the cell. */
@@ -448,21 +450,15 @@
     return false;
 }
 
-/* True while the vote against this start still binds the voter. */
+/*
+ * True while the vote against this start still binds the voter. The vote may
+ * count until LSE_ROUND_US after the question. When a majority has voted, the
+ * holder's lease has lapsed, and a lease that it gains later is of a new term.
+ */
 static bool
-lse_is_bound(struct lse *lease, int64_t now_us, struct lse_record *record,
-             const char *machine, uint64_t start)
+lse_is_bound(const struct lse_record *record, int64_t now_us)
 {
-    if (record->voted_us < 0) {
-        return false;
-    }
-    if (now_us - record->voted_us >= LSE_LEASE_US &&
-        lease->callbacks.has_newer_epoch(lease->callbacks.ctx, machine, start,
-                                         record->voted_us)) {
-        record->voted_us = -1;
-        return false;
-    }
-    return true;
+    return record->voted_us >= 0 && now_us - record->voted_us < LSE_LEASE_US;
 }
 
 static bool
@@ -477,7 +473,10 @@
         lse_refuse(lease, "cell_version");
         return false;
     }
-    if (lse_is_bound(lease, now_us, record, beat->machine, beat->start)) {
+    if (lse_is_bound(record, now_us)) {
+        /* It is alive: without this each round that a machine cut off from it
+         * asks would bind this voter again. */
+        record->unanswered_us = now_us;
         lse_refuse(lease, "voted");
         return false;
     }
--- a/include/agent/contract.h
+++ b/include/agent/contract.h
@@ -145,10 +145,6 @@
 /* True when an object names the machine, whatever its start. */
 bool ctr_names_machine(const struct ctr *contracts, const char *machine);
 
-/* For lse_callbacks.has_newer_epoch. */
-bool ctr_has_newer_epoch(const struct ctr *contracts, const char *holder,
-                         uint64_t start, int64_t since_us);
-
 /* Rendezvous hashing: true when `a` goes before `b` for this key. */
 bool ctr_is_preferred(const char *key, const char *a, const char *b);
 
--- a/include/agent/lease.h
+++ b/include/agent/lease.h
@@ -38,12 +38,6 @@
     /* Sends BEAT or ASK to a machine of the cell; loss is allowed. */
     void (*send)(void *ctx, const char *machine, enum msg_type type,
                  const void *body);
-    /*
-     * True when no contract names (holder, start) in a version that was
-     * known at `since_us`.
-     */
-    bool (*has_newer_epoch)(void *ctx, const char *holder, uint64_t start,
-                            int64_t since_us);
     void *ctx;
 };
 
--- a/spec/contract.pml
+++ b/spec/contract.pml
@@ -21,7 +21,11 @@
  * The code drops votes after 600 ms. Here they live for one LEASE, the longest
  * time for which the other rules make them safe.
  */
+#ifdef LONG_ROUND /* votes count for longer than a voter is silent */
+#define ROUND (LEASE + 1)
+#else
 #define ROUND LEASE
+#endif
 
 #ifdef ONE_VOTE /* no majority is needed */
 #define MAJORITY 1
@@ -40,7 +44,11 @@
 #define DONE 2     /* took effect, reply under way */
 #define DOUBT 3    /* refused or no reply: to be read back */
 
+#ifdef NO_RESTARTS
+#define RESTARTS_MAX 0
+#else
 #define RESTARTS_MAX 1
+#endif
 
 /* The store's object. */
 byte version = 1;
@@ -50,7 +58,7 @@
 /* Voters. */
 byte heard[VOTERS];     /* ticks since the last accepted beat */
 byte silent[VOTERS];    /* ticks of silence left after a restart */
-byte refuses[VOTERS];   /* 1: it said "not heard"; 2: a newer epoch exists */
+byte refuses[VOTERS];   /* ticks left in which it accepts no beat: it voted */
 
 /* The holder. */
 byte lease = BOUND;
@@ -69,6 +77,7 @@
 bool asking = false;
 byte round_age = 0;
 bool votes[VOTERS];
+bool decided = false; /* a majority said "not heard" of this version */
 bool s_using = false;
 byte s_step = IDLE;
 byte s_write_version;
@@ -84,32 +93,25 @@
 #else
 #define VOTER_WAITED (heard[i] >= LEASE)
 #endif
+#ifdef SHORT_REFUSAL /* a voter accepts beats while its vote still counts */
+#define REFUSAL 1
+#else
+#define REFUSAL LEASE
+#endif
 #define VOTE_COUNT (votes[0] + votes[1] + votes[2])
 #define ACK_COUNT (acked[0] + acked[1] + acked[2])
 
 #define CLEAR(array) array[0] = false; array[1] = false; array[2] = false
 
-/* An update takes effect; voters will see a newer epoch. */
+/* An update takes effect. */
 inline write(machine)
 {
     version++;
-    owner = machine;
-    if
-    :: refuses[0] == 1 -> refuses[0] = 2
-    :: else
-    fi;
-    if
-    :: refuses[1] == 1 -> refuses[1] = 2
-    :: else
-    fi;
-    if
-    :: refuses[2] == 1 -> refuses[2] = 2
-    :: else
-    fi
+    owner = machine
 }
 
 #define KEY(i) \
-    ((((heard[i] * (LEASE + 1) + silent[i]) * 3 + refuses[i]) * 2 + \
+    ((((heard[i] * (LEASE + 1) + silent[i]) * (LEASE + 1) + refuses[i]) * 2 + \
       votes[i]) * 2 + acked[i])
 
 inline order(a, b)
@@ -152,6 +154,10 @@
             :: silent[i] > 0 -> silent[i]--
             :: else
             fi;
+            if
+            :: refuses[i] > 0 -> refuses[i]--
+            :: else
+            fi;
             i++
         :: else -> break
         od;
@@ -212,6 +218,7 @@
         s_owner = owner;
         s_age = 0;
         asking = false;
+        decided = false;
         CLEAR(votes);
         round_age = 0
     :: else
@@ -294,17 +301,6 @@
            sort()
        }
 
-    /* ctr_has_newer_epoch(): the voter sees a newer epoch. */
-    :: atomic {
-           refuses[0] == 2 || refuses[1] == 2 || refuses[2] == 2 ->
-           if
-           :: refuses[0] == 2 -> refuses[0] = 0
-           :: refuses[1] == 2 -> refuses[1] = 0
-           :: refuses[2] == 2 -> refuses[2] = 0
-           fi;
-           sort()
-       }
-
     /* ctr_tick_unconfirmed(): H asks the store to confirm it anew. */
     :: atomic {
            h_owner && h_step == IDLE && !h_confirmed &&
@@ -359,8 +355,8 @@
 
     /* ctr_tick_foreign(), lse_ask(): S asks the cell. */
     :: atomic {
-           s_step == IDLE && !asking && !s_using && s_owner == HOLDER &&
-           S_STABLE ->
+           s_step == IDLE && !asking && !decided && !s_using &&
+           s_owner == HOLDER && S_STABLE ->
            asking = true;
            round_age = 0;
            CLEAR(votes)
@@ -378,17 +374,20 @@
            :: silent[i] == 0 && !votes[i] && VOTER_WAITED ->
                votes[i] = true;
 #ifndef NO_REFUSAL /* a voter goes on accepting beats after its vote */
-               refuses[i] = 1
+               refuses[i] = REFUSAL
 #endif
+           :: else
+           fi;
+           if
+           :: VOTE_COUNT >= MAJORITY -> decided = true
            :: else
            fi;
            sort()
        }
 
-    /* ctr_tick_foreign(): S sends its update. */
+    /* ctr_tick_foreign(): S sends its update, however late. */
     :: atomic {
-           asking && s_step == IDLE && VOTE_COUNT >= MAJORITY &&
-           version < VERSION_MAX ->
+           decided && s_step == IDLE && version < VERSION_MAX ->
            s_step = SENT;
 #ifdef FRESH_VERSION
            s_write_version = version;
--- a/tests/agent/soak_agent.c
+++ b/tests/agent/soak_agent.c
@@ -22,8 +22,10 @@
  * The mode "peers" guards against a version of the cell that only the store
  * can tell: agents restart while it is down, and it fails when only the writer
  * of a change has its reply.
+ * The mode "votes" guards against voters that go on refusing a holder after a
+ * round that failed, so that it loses its lease with the next machine.
  *
- * Usage: soak_agent SEED STEPS [faults|cells|outage|peers]
+ * Usage: soak_agent SEED STEPS [faults|cells|outage|peers|votes]
  */
 
 #define AGENTS 7
@@ -437,14 +439,6 @@
     sim_send(agent->sim, agent->index, index_of(machine), type, body);
 }
 
-static bool
-agent_has_newer_epoch(void *ctx, const char *holder, uint64_t start,
-                      int64_t since_us)
-{
-    const struct agent *agent = ctx;
-    return ctr_has_newer_epoch(agent->contracts, holder, start, since_us);
-}
-
 static void
 agent_write(void *ctx, uint64_t version, const struct msg_holder *value)
 {
@@ -550,7 +544,6 @@
     int64_t now_us = agent_now(agent);
     const struct lse_callbacks lease = {
         .send = agent_send,
-        .has_newer_epoch = agent_has_newer_epoch,
         .ctx = agent,
     };
     const struct ctr_callbacks contracts = {
@@ -1485,12 +1478,61 @@
     sim_check_recovery(sim);
 }
 
+static uint64_t
+sim_count(struct sim *sim, const char *name)
+{
+    uint64_t sum = 0;
+    for (int i = 0; i < AGENTS; i++) {
+        sum += *cnt_get(sim->agents[i].counters, name, NULL);
+    }
+    return sum;
+}
+
+static void
+sim_run_leased(struct sim *sim, const struct agent *agent, int64_t duration_us)
+{
+    for (int64_t end_us = sim->now_us + duration_us; sim->now_us < end_us;) {
+        sim_step(sim);
+        if (!lse_is_valid(agent->lease, agent_now(agent))) {
+            sim_fail(sim, "a live holder lost its lease", agent->index);
+        }
+    }
+}
+
+/*
+ * Three of seven machines do not hear a holder for a while and fail to vote it
+ * out. Once they hear it again, it must survive the loss of another one.
+ */
+static void
+sim_run_votes(struct sim *sim)
+{
+    sim_run(sim, INT64_C(60) * 1000 * 1000);
+    for (int h = 0; h < AGENTS; h++) {
+        const struct agent *holder = &sim->agents[h];
+        for (int i = 1; i <= AGENTS / 2; i++) {
+            sim->is_blocked[h][(h + i) % AGENTS] = true;
+            sim->is_blocked[(h + i) % AGENTS][h] = true;
+        }
+        sim_run_leased(sim, holder, INT64_C(4) * 1000 * 1000);
+        memset(sim->is_blocked, 0, sizeof(sim->is_blocked));
+        sim_run_leased(sim, holder, INT64_C(5) * 1000 * 1000);
+        agent_end(&sim->agents[(h + AGENTS - 1) % AGENTS],
+                  INT64_C(10) * 1000 * 1000);
+        sim_run_leased(sim, holder, INT64_C(10) * 1000 * 1000);
+        sim_run(sim, INT64_C(60) * 1000 * 1000);
+    }
+    if (sim_count(sim, "lease_asks_total") == 0) {
+        sim_fail(sim, "nobody asked", 0);
+    }
+    sim_check_recovery(sim);
+}
+
 int
 main(int argc, char **argv)
 {
     if (argc < 3) {
         (void)fprintf(stderr, "usage: soak_agent SEED STEPS "
-                              "[faults|cells|outage|peers]\n");
+                              "[faults|cells|outage|peers|votes]\n");
         return 2;
     }
     const char *mode = argc > 3 ? argv[3] : "faults";
@@ -1508,6 +1550,9 @@
     else if (strcmp(mode, "peers") == 0) {
         sim_run_peers(sim);
     }
+    else if (strcmp(mode, "votes") == 0) {
+        sim_run_votes(sim);
+    }
     else {
         sim_run_faults(sim);
     }
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -37,7 +37,6 @@
     struct ctr_view view;
     int64_t accepted_us; /* of every holder but m0 */
     int64_t voted_us;
-    bool has_newer_epoch;
 };
 
 static void
@@ -56,13 +55,6 @@
     }
 }
 
-static bool
-on_newer_epoch(void *ctx, const char *holder, uint64_t start, int64_t since_us)
-{
-    const struct world *world = ctx;
-    return world->has_newer_epoch;
-}
-
 static void
 print_warm(GString *out, const struct msg_holder *holder)
 {
@@ -185,8 +177,7 @@
                  .can_hold = true,
                  .is_store_usable = true},
     };
-    const struct lse_callbacks lease = {
-        .send = on_send, .has_newer_epoch = on_newer_epoch, .ctx = world};
+    const struct lse_callbacks lease = {.send = on_send, .ctx = world};
     const struct ctr_callbacks contracts = {
         .write = on_write,
         .read = on_read,
@@ -362,13 +353,6 @@
         lse_voted_out_us(world->lease, argv[2], vote.holder_start) >= 0);
 }
 
-static void
-run_newer_epoch(void *ctx, int argc, char **argv, GString *out)
-{
-    struct world *world = ctx;
-    world->has_newer_epoch = scr_number(argc, argv, 1) != 0;
-}
-
 static void
 run_may_change(void *ctx, int argc, char **argv, GString *out)
 {
@@ -765,7 +749,6 @@
     {"asked", run_asked},
     {"ask", run_ask},
     {"vote", run_vote},
-    {"newer-epoch", run_newer_epoch},
     {"may-change", run_may_change},
     {"config", run_config},
     {"machines", run_machines},
