check: name the line of bad bytes, the value and the range of a field

Poor errors: a byte that is not text was always reported at line 1 (the true line was 23 in two files); a number with a unit or of 20 digits gave "must be a whole number" without value or range; a name of 3,000 bytes was quoted whole; a key with a line feed split its error over two lines; a byte 0 in a quoted key hid the rest of the key, so that "clu\0x" was reported as "clu"; and /dev/zero was read without end.

Change: the line of such a byte is counted from its offset; wrong numbers are quoted and the range is given; quotes end after 64 characters; control characters in keys are refused; a file has at most 16 MiB.

A file that cannot be read has line 0, and a byte that is not text has the field "document", since the text is read ahead of the fields.

--- a/common/config_check.c
+++ b/common/config_check.c
@@ -8,6 +8,8 @@
 #include "common/rc.h"
 
 #define NAME_MAX_BYTES 63
+/* An error quotes this much of a wrong text; it has to stay one short line. */
+#define QUOTE_MAX_CHARS 64
 
 struct cfg_checker {
     GString *path;
@@ -38,6 +40,32 @@
     return RC_INVALID;
 }
 
+/* The start of a wrong text, on one line; g_free. */
+static char *
+cfg_quote(const json_t *value)
+{
+    const char *text = json_string_value(value);
+    glong length = g_utf8_strlen(text, -1);
+    char *start = g_utf8_substring(text, 0, MIN(length, QUOTE_MAX_CHARS));
+    for (char *at = start; *at != '\0'; at++) {
+        *at = g_ascii_iscntrl(*at) ? '?' : *at;
+    }
+    char *quote = g_strdup_printf("'%s%s'", start,
+                                  length > QUOTE_MAX_CHARS ? "..." : "");
+    g_free(start);
+    return quote;
+}
+
+static int
+cfg_fail_text(struct cfg_checker *checker, const json_t *value,
+              const char *wanted)
+{
+    char *quote = cfg_quote(value);
+    int rc = cfg_fail(checker, "%s is not %s", quote, wanted);
+    g_free(quote);
+    return rc;
+}
+
 /* Steps into a field; the result is handed to cfg_leave(). */
 static gsize
 cfg_enter(struct cfg_checker *checker, const char *key)
@@ -98,12 +126,10 @@
     if (!json_is_string(value)) {
         return cfg_fail(checker, "must be a string");
     }
-    if (!cfg_is_name(json_string_value(value))) {
-        return cfg_fail(checker,
-                        "'%s' is not a name: [a-z0-9][a-z0-9_.-]{0,62}",
-                        json_string_value(value));
-    }
-    return RC_OK;
+    return cfg_is_name(json_string_value(value))
+               ? RC_OK
+               : cfg_fail_text(checker, value,
+                               "a name: [a-z0-9][a-z0-9_.-]{0,62}");
 }
 
 static int
@@ -113,11 +139,9 @@
     if (!json_is_string(value)) {
         return cfg_fail(checker, "must be a string");
     }
-    if (!cfg_is_address(json_string_value(value))) {
-        return cfg_fail(checker, "'%s' is not IPV4:PORT",
-                        json_string_value(value));
-    }
-    return RC_OK;
+    return cfg_is_address(json_string_value(value))
+               ? RC_OK
+               : cfg_fail_text(checker, value, "IPV4:PORT");
 }
 
 static int
@@ -125,7 +149,13 @@
                  const json_t *value)
 {
     if (!json_is_integer(value)) {
-        return cfg_fail(checker, "must be a whole number");
+        char *quote = json_is_string(value) ? cfg_quote(value) : NULL;
+        int rc = cfg_fail(
+            checker, "must be a whole number in %" PRId64 "..%" PRId64 "%s%s",
+            field->min, field->max, quote != NULL ? ", not the text " : "",
+            quote != NULL ? quote : "");
+        g_free(quote);
+        return rc;
     }
     int64_t number = json_integer_value(value);
     if (number < field->min || number > field->max) {
--- a/ctl/tree.c
+++ b/ctl/tree.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <yaml.h>
 
@@ -7,10 +8,15 @@
 
 /* The schema is 7 levels deep; this only bounds the recursion. */
 #define TREE_MAX_DEPTH 32
+/* The document may have 1 MB as JSON; the rest is for comments and spaces. A
+ * bound is needed because some files never end, such as /dev/zero. */
+#define TREE_MAX_FILE_BYTES (16 * 1024 * 1024)
 
 struct tre_reader {
     yaml_parser_t parser;
     const char *file;
+    const char *text;
+    size_t text_bytes;
     GString *path;
     int depth;
     char *error;
@@ -89,16 +95,33 @@
 }
 
 static void
-tre_fail(struct tre_reader *reader, yaml_mark_t mark, const char *what)
+tre_fail_at(struct tre_reader *reader, int line, const char *what)
 {
     if (reader->error != NULL) {
         return;
     }
     reader->error = g_strdup_printf(
-        "%s:%d: %s: %s", reader->file, tre_line(mark),
+        "%s:%d: %s: %s", reader->file, line,
         reader->path->len > 0 ? reader->path->str : "document", what);
 }
 
+static void
+tre_fail(struct tre_reader *reader, yaml_mark_t mark, const char *what)
+{
+    tre_fail_at(reader, tre_line(mark), what);
+}
+
+/* Line of the byte that is not text; libyaml gives only its offset. */
+static int
+tre_line_of_offset(const struct tre_reader *reader, size_t offset)
+{
+    int line = 1;
+    for (size_t i = 0; i < offset && i < reader->text_bytes; i++) {
+        line += reader->text[i] == '\n' ? 1 : 0;
+    }
+    return line;
+}
+
 static bool
 tre_next(struct tre_reader *reader, yaml_event_t *event)
 {
@@ -106,6 +129,13 @@
         return true;
     }
     const yaml_parser_t *parser = &reader->parser;
+    if (parser->error == YAML_READER_ERROR) {
+        /* The text is read ahead: the byte may be far behind the path. */
+        g_string_truncate(reader->path, 0);
+        tre_fail_at(reader, tre_line_of_offset(reader, parser->problem_offset),
+                    parser->problem);
+        return false;
+    }
     char *what = g_strdup_printf(
         "%s%s%s", parser->problem, parser->context != NULL ? " " : "",
         parser->context != NULL ? parser->context : "");
@@ -148,6 +178,19 @@
     return true;
 }
 
+/* A byte 0 would hide the rest of a key, a line feed would split the error
+ * that names it. */
+static bool
+tre_is_printable(const char *text, size_t text_bytes)
+{
+    for (size_t i = 0; i < text_bytes; i++) {
+        if (g_ascii_iscntrl(text[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 tre_read_pair(struct tre_reader *reader, struct tre_node *map,
               yaml_event_t *key)
@@ -157,6 +200,10 @@
         return false;
     }
     const char *text = (const char *)key->data.scalar.value;
+    if (!tre_is_printable(text, key->data.scalar.length)) {
+        tre_fail(reader, key->start_mark, "a key holds a control character");
+        return false;
+    }
     gsize back = reader->path->len;
     g_string_append_printf(reader->path, "%s%s", back > 0 ? "." : "", text);
     if (tre_get(map, text) != NULL) {
@@ -304,6 +351,8 @@
 {
     struct tre_reader reader = {
         .file = g_intern_string(file),
+        .text = text,
+        .text_bytes = text_bytes,
         .path = g_string_new(NULL),
     };
     if (!yaml_parser_initialize(&reader.parser)) {
@@ -327,19 +376,44 @@
     return root != NULL ? RC_OK : RC_INVALID;
 }
 
+/* Reads at most one byte more than a file may have. Returns 0 or an errno. */
+static int
+tre_load(const char *path, GString *text)
+{
+    FILE *file = fopen(path, "rb");
+    if (file == NULL) {
+        return errno;
+    }
+    char block[64 * 1024];
+    size_t bytes = 0;
+    errno = 0;
+    do {
+        bytes = fread(block, 1, sizeof(block), file);
+        g_string_append_len(text, block, (gssize)bytes);
+    } while (bytes > 0 && text->len <= TREE_MAX_FILE_BYTES);
+    int problem = ferror(file) != 0 ? errno : 0;
+    (void)fclose(file);
+    return problem;
+}
+
 int
 tre_read_file(const char *path, struct tre_node **out, char **error)
 {
-    char *text = NULL;
-    gsize text_bytes = 0;
-    GError *fault = NULL;
-    if (!g_file_get_contents(path, &text, &text_bytes, &fault)) {
-        *error = g_strdup_printf("%s:0: document: %s", path, fault->message);
-        g_error_free(fault);
-        return RC_INVALID;
-    }
-    int rc = tre_read_text(path, text, text_bytes, out, error);
-    g_free(text);
+    GString *text = g_string_new(NULL);
+    int problem = tre_load(path, text);
+    int rc = RC_INVALID;
+    if (problem != 0) {
+        *error =
+            g_strdup_printf("%s:0: document: %s", path, g_strerror(problem));
+    }
+    else if (text->len > TREE_MAX_FILE_BYTES) {
+        *error = g_strdup_printf("%s:0: document: is larger than %d bytes",
+                                 path, TREE_MAX_FILE_BYTES);
+    }
+    else {
+        rc = tre_read_text(path, text->str, text->len, out, error);
+    }
+    g_string_free(text, TRUE);
     return rc;
 }
 
--- a/tests/ctl/test_files.c
+++ b/tests/ctl/test_files.c
@@ -46,11 +46,11 @@
 }
 
 static void
-print_load(const char *overlay, GString *out)
+print_load_of(const char *base, const char *overlay, GString *out)
 {
     struct fil_document document = {.root = NULL};
     char *error = NULL;
-    int rc = fil_load("base.yaml", overlay, &document, &error);
+    int rc = fil_load(base, overlay, &document, &error);
     if (rc == RC_OK) {
         char *text = fil_encode(document.root);
         g_string_append(out, text);
@@ -63,6 +63,34 @@
     g_free(error);
 }
 
+static void
+print_load(const char *overlay, GString *out)
+{
+    print_load_of("base.yaml", overlay, out);
+}
+
+/* bytes TEXT [COUNT]: a base file of this text, with C escapes, repeated. */
+static void
+run_bytes(void *ctx, int argc, char **argv, GString *out)
+{
+    GString *text = g_string_new(NULL);
+    char *bytes = g_strcompress(argv[1]);
+    for (gint64 i = argc > 2 ? scr_number(argc, argv, 2) : 1; i > 0; i--) {
+        g_string_append(text, bytes);
+    }
+    assert_true(g_file_set_contents("base.yaml", text->str, -1, NULL));
+    g_free(bytes);
+    g_string_free(text, TRUE);
+    print_load(NULL, out);
+}
+
+/* file PATH: what the tool makes of a file that the test did not write. */
+static void
+run_file(void *ctx, int argc, char **argv, GString *out)
+{
+    print_load_of(argv[1], NULL, out);
+}
+
 /* base LINE...: what the tool makes of this base file alone. */
 static void
 run_base(void *ctx, int argc, char **argv, GString *out)
@@ -101,9 +129,8 @@
 }
 
 static const struct scr_command commands[] = {
-    {"base", run_base},
-    {"overlay", run_overlay},
-    {"change", run_change},
+    {"base", run_base},       {"bytes", run_bytes},   {"file", run_file},
+    {"overlay", run_overlay}, {"change", run_change},
 };
 
 static void
