Follow the operator's pages word for word and correct what differs

Cause: a run through README.md and docs/operations.md by hand, with three machines at a time, found these differences.

- `zone out` and `apply` silently left instances without any searcher, and the page asked to check 52 instances by eye. check, diff, apply and zone now warn of them.
- Wrong options were printed without the result code's name that the man page promises; all programs print "usage: " now.
`check x` printed "takes 0 arguments: " and no command at all "'' is not a command".

--- a/common/opt.c
+++ b/common/opt.c
@@ -27,14 +27,15 @@
     errno = 0;
     int64_t value = g_ascii_strtoll(text, &end, 10);
     if (errno != 0 || end == text || *end != '\0') {
-        (void)fprintf(stderr, "--%s: '%s' is not a whole number\n", spec->name,
-                      text);
+        (void)fprintf(stderr, "usage: --%s: '%s' is not a whole number\n",
+                      spec->name, text);
         return RC_USAGE;
     }
     if (value < spec->min || value > spec->max) {
-        (void)fprintf(
-            stderr, "--%s: %" PRId64 " is outside %" PRId64 "..%" PRId64 "\n",
-            spec->name, value, spec->min, spec->max);
+        (void)fprintf(stderr,
+                      "usage: --%s: %" PRId64 " is outside %" PRId64
+                      "..%" PRId64 "\n",
+                      spec->name, value, spec->min, spec->max);
         return RC_USAGE;
     }
     *(int64_t *)spec->target = value;
@@ -54,8 +55,8 @@
         return RC_OK;
     case OPT_ADDRESS:
         if (net_parse(text, &address) != RC_OK) {
-            (void)fprintf(stderr, "--%s: '%s' is not IPV4:PORT\n", spec->name,
-                          text);
+            (void)fprintf(stderr, "usage: --%s: '%s' is not IPV4:PORT\n",
+                          spec->name, text);
             return RC_USAGE;
         }
         break;
@@ -96,7 +97,7 @@
 {
     for (size_t i = 0; i < count; i++) {
         if (specs[i].required && !seen[i]) {
-            (void)fprintf(stderr, "--%s is required\n", specs[i].name);
+            (void)fprintf(stderr, "usage: --%s is required\n", specs[i].name);
             return RC_USAGE;
         }
     }
@@ -132,7 +133,7 @@
     GError *error = NULL;
     int rc = RC_OK;
     if (!g_option_context_parse(context, argc, argv, &error)) {
-        (void)fprintf(stderr, "%s\n", error->message);
+        (void)fprintf(stderr, "usage: %s\n", error->message);
         g_error_free(error);
         rc = RC_USAGE;
     }
--- a/ctl/commands/check.c
+++ b/ctl/commands/check.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "ctl/commands.h"
+#include "ctl/cover.h"
 #include "ctl/source.h"
 
 static size_t
@@ -52,6 +53,7 @@
     }
     if (code == CTL_DONE) {
         check_report(ctl, &document);
+        cov_warn(ctl, document.root);
     }
     fil_clear(&document);
     return code;
--- a/ctl/commands/diff.c
+++ b/ctl/commands/diff.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 
 #include "ctl/commands.h"
+#include "ctl/cover.h"
 #include "ctl/diff.h"
 #include "ctl/publish.h"
 #include "ctl/source.h"
@@ -20,6 +21,7 @@
         ctl_print(ctl, "changes against revision %" PRId64 ": %u",
                   obj_number(&current), changes->len);
         pub_show(ctl, changes);
+        cov_warn(ctl, document.root);
         json_object_set_new(ctl->result, "revision",
                             json_integer(obj_number(&current)));
         g_ptr_array_free(changes, TRUE);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -23,7 +23,7 @@
 static const struct cmd *
 main_find(const char *name)
 {
-    for (size_t i = 0; name != NULL && i < cmd_count; i++) {
+    for (size_t i = 0; i < cmd_count; i++) {
         if (strcmp(cmd_table[i].name, name) == 0) {
             return &cmd_table[i];
         }
@@ -62,15 +62,19 @@
 static enum ctl_exit
 main_run(struct ctl *ctl, int argc, char **argv)
 {
-    const struct cmd *cmd = main_find(argc > 0 ? argv[0] : NULL);
+    if (argc == 0) {
+        return ctl_fail(ctl, CTL_USAGE, RC_USAGE,
+                        "a command is needed; see --help");
+    }
+    const struct cmd *cmd = main_find(argv[0]);
     if (cmd == NULL) {
         return ctl_fail(ctl, CTL_USAGE, RC_USAGE,
-                        "'%s' is not a command; see --help",
-                        argc > 0 ? argv[0] : "");
+                        "'%s' is not a command; see --help", argv[0]);
     }
     if (argc - 1 != cmd->argument_count) {
-        return ctl_fail(ctl, CTL_USAGE, RC_USAGE, "%s takes %d arguments: %s",
-                        cmd->name, cmd->argument_count, cmd->arguments);
+        return ctl_fail(ctl, CTL_USAGE, RC_USAGE, "%s takes %d arguments%s%s",
+                        cmd->name, cmd->argument_count,
+                        cmd->argument_count > 0 ? ": " : "", cmd->arguments);
     }
     const char *missing = main_missing(ctl, cmd);
     if (missing != NULL) {
--- a/ctl/publish.c
+++ b/ctl/publish.c
@@ -3,6 +3,7 @@
 #include "common/config_schema.h"
 #include "common/rc.h"
 #include "ctl/agents.h"
+#include "ctl/cover.h"
 #include "ctl/diff.h"
 #include "ctl/publish.h"
 
@@ -83,6 +84,7 @@
     if (!pub_is_valid(ctl, document)) {
         return CTL_REFUSED;
     }
+    cov_warn(ctl, document);
     int rc = obj_update(ctl, current, document);
     if (rc != RC_OK) {
         return pub_fail(ctl, current, rc);
--- a/entry/options.c
+++ b/entry/options.c
@@ -47,10 +47,11 @@
     int rc = opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
                        "carobhatch entry");
     if (rc == RC_OK && !rid_is_machine_name(options->machine)) {
-        (void)fprintf(stderr,
-                      "--machine: '%s' must be 1 to %d letters, digits, '-', "
-                      "'_' or '.'\n",
-                      options->machine, RID_MAX_MACHINE_BYTES);
+        (void)fprintf(
+            stderr,
+            "usage: --machine: '%s' must be 1 to %d letters, digits, '-', "
+            "'_' or '.'\n",
+            options->machine, RID_MAX_MACHINE_BYTES);
         rc = RC_USAGE;
     }
     return rc;
--- /dev/null
+++ b/include/ctl/cover.h
@@ -0,0 +1,14 @@
+#ifndef CH_CTL_COVER_H
+#define CH_CTL_COVER_H
+
+#include <jansson.h>
+
+#include "ctl/ctl.h"
+
+/*
+ * Warns of each instance of a valid document whose searchers are all leaving
+ * or in a zone that is out: its shards are missing from every answer.
+ */
+void cov_warn(struct ctl *ctl, const json_t *document);
+
+#endif
--- a/load/load.c
+++ b/load/load.c
@@ -27,6 +27,7 @@
     struct rep report;
     struct tml timeline;
     struct prg progress;
+    FILE *json; /* for the results, NULL for none */
     int64_t started_unix_ms;
 };
 
@@ -130,7 +131,8 @@
     for (int64_t i = 0; i < options->callers; i++) {
         struct ent *entries = &load->callers.entries[i];
         if (ent_init(entries, options->entries) != RC_OK) {
-            (void)fprintf(stderr, "--entries: '%s' is not IPV4:PORT,...\n",
+            (void)fprintf(stderr,
+                          "usage: --entries: '%s' is not IPV4:PORT,...\n",
                           options->entries);
             return RC_USAGE;
         }
@@ -159,7 +161,8 @@
     rep_init(&load->report);
     if (mix_init(&load->mix, options->services, (uint64_t)options->seed) !=
         RC_OK) {
-        (void)fprintf(stderr, "--service: '%s' is not NAME=WEIGHT,...\n",
+        (void)fprintf(stderr,
+                      "usage: --service: '%s' is not NAME=WEIGHT,...\n",
                       options->services);
         return RC_USAGE;
     }
@@ -174,6 +177,13 @@
 {
     const struct load_options *options = load->options;
     FILE *timeline = NULL;
+    if (options->json != NULL) {
+        /* Opened first: a wrong path must not cost the results of a run. */
+        load->json = load_open_file(options->json);
+        if (load->json == NULL) {
+            return RC_IO;
+        }
+    }
     if (options->timeline != NULL) {
         timeline = load_open_file(options->timeline);
         if (timeline == NULL) {
@@ -208,7 +218,7 @@
 static int
 load_write_json(const struct load *load, double seconds)
 {
-    if (load->options->json == NULL) {
+    if (load->json == NULL) {
         return RC_OK;
     }
     json_t *results = rep_json(&load->report, seconds);
@@ -216,10 +226,10 @@
     json_object_set_new(results, "seed", json_integer(load->options->seed));
     json_object_set_new(results, "started_unix_ms",
                         json_integer(load->started_unix_ms));
-    int failed = json_dump_file(results, load->options->json,
-                                JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+    int failed =
+        json_dumpf(results, load->json, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
     json_decref(results);
-    if (failed != 0) {
+    if (fclose(load->json) != 0 || failed != 0) {
         perror(load->options->json);
         return RC_IO;
     }
--- a/load/options.c
+++ b/load/options.c
@@ -67,7 +67,8 @@
                        "answer of stand-in searchers");
     if (rc == RC_OK && strcmp(options->arrivals, "poisson") != 0 &&
         strcmp(options->arrivals, "even") != 0) {
-        (void)fprintf(stderr, "--arrivals: '%s' is neither poisson nor even\n",
+        (void)fprintf(stderr,
+                      "usage: --arrivals: '%s' is neither poisson nor even\n",
                       options->arrivals);
         return RC_USAGE;
     }
--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -14,6 +14,7 @@
 #include "load/arrival.h"
 #include "load/check.h"
 #include "load/entries.h"
+#include "load/load.h"
 #include "load/mix.h"
 #include "script.h"
 #include "standin/hits.h"
@@ -318,6 +319,27 @@
     run_file(SCRIPT_DIR "/entries.txt");
 }
 
+/* Guards against a run whose results are lost to a wrong path at its end. */
+static void
+test_wrong_path(void **state)
+{
+    const struct load_options options = {
+        .entries = "127.0.0.1:1",
+        .services = "dispatch",
+        .arrivals = "even",
+        .caller_prefix = "caller-",
+        .json = "/nosuch/results.json",
+        .rate = 1,
+        .seconds = 5,
+        .callers = 1,
+        .connections = 1,
+        .deadline_ms = 100,
+    };
+    gint64 start_us = g_get_monotonic_time();
+    assert_int_equal(load_run(&options), 2);
+    assert_true(g_get_monotonic_time() - start_us < options.seconds * 1000000);
+}
+
 int
 main(void)
 {
@@ -325,6 +347,7 @@
         cmocka_unit_test(test_arrival),
         cmocka_unit_test(test_check),
         cmocka_unit_test(test_entries),
+        cmocka_unit_test(test_wrong_path),
     };
     return cmocka_run_group_tests_name("load", tests, NULL, NULL);
 }
