Remove functions without a caller

ddp_count, pol_count, rep_clear, runs_free and tmr_is_running were called nowhere, in programs or tests. 51 lines less; no change of behaviour.

--- a/include/load/pool.h
+++ b/include/load/pool.h
@@ -45,7 +45,4 @@
 /* Closes a connection. */
 void pol_drop(struct pol_conn *conn);
 
-/* Connections that are open or being opened. */
-uint32_t pol_count(const struct pol *pool);
-
 #endif
--- a/include/load/report.h
+++ b/include/load/report.h
@@ -56,8 +56,6 @@
 
 void rep_init(struct rep *report);
 
-void rep_clear(struct rep *report);
-
 void rep_add(struct rep *report, const struct rep_outcome *outcome);
 
 /* Mean coverage of right answers to searches; 0 if there are none. */
--- a/include/relay/dedup.h
+++ b/include/relay/dedup.h
@@ -30,6 +30,4 @@
 /* Gives the id back: the order certainly did not run. */
 void ddp_forget(struct ddp *dedup, const char *id);
 
-uint32_t ddp_count(const struct ddp *dedup);
-
 #endif
--- a/include/standin/runs.h
+++ b/include/standin/runs.h
@@ -8,8 +8,6 @@
 
 struct runs *runs_new(void);
 
-void runs_free(struct runs *runs);
-
 /* Notes one more run of the order. */
 void runs_add(struct runs *runs, const char *id);
 
--- a/include/standin/timer.h
+++ b/include/standin/timer.h
@@ -1,7 +1,6 @@
 #ifndef CH_STANDIN_TIMER_H
 #define CH_STANDIN_TIMER_H
 
-#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -40,6 +39,4 @@
 
 void tmr_stop(struct tmr *timer);
 
-bool tmr_is_running(const struct tmr *timer);
-
 #endif
--- a/load/pool.c
+++ b/load/pool.c
@@ -169,16 +169,3 @@
     pol_close(conn);
     pol_open_more(entry);
 }
-
-uint32_t
-pol_count(const struct pol *pool)
-{
-    uint32_t count = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, pool->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        count += ((const struct pol_entry *)value)->open;
-    }
-    return count;
-}
--- a/load/report.c
+++ b/load/report.c
@@ -20,14 +20,6 @@
     report->wrong_by_kind = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
-void
-rep_clear(struct rep *report)
-{
-    g_hash_table_destroy(report->refused_by_code);
-    g_hash_table_destroy(report->errors_by_name);
-    g_hash_table_destroy(report->wrong_by_kind);
-}
-
 /* `name` must be static. */
 static void
 rep_count(GHashTable *counts, const char *name)
--- a/relay/dedup.c
+++ b/relay/dedup.c
@@ -87,9 +87,3 @@
     g_queue_delete_link(dedup->by_age, entry->age);
     ddp_entry_free(entry);
 }
-
-uint32_t
-ddp_count(const struct ddp *dedup)
-{
-    return g_hash_table_size(dedup->by_id);
-}
--- a/standin/runs.c
+++ b/standin/runs.c
@@ -15,13 +15,6 @@
     return runs;
 }
 
-void
-runs_free(struct runs *runs)
-{
-    g_hash_table_destroy(runs->by_id);
-    g_free(runs);
-}
-
 void
 runs_add(struct runs *runs, const char *id)
 {
--- a/standin/timer.c
+++ b/standin/timer.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdbool.h>
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
@@ -175,9 +176,3 @@
         tmr_sift_up(set, last);
     }
 }
-
-bool
-tmr_is_running(const struct tmr *timer)
-{
-    return timer->set != NULL;
-}
