entry: share the tables of running requests and the copy of an order

Cause: entry/order.c, entry/forward.c and entry/gather.c made and walked their tables alike, and the first two copied and freed an order's fields in the same way; entry/orders.c filled these fields three times.

Change: entry/running holds the order's fields, their copy and the walk over a table whose values may end meanwhile.

The tests fill the nested fields, nothing else in them changed.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -9,12 +9,7 @@
 struct fwd_order {
     uint64_t qid;
     char *machine;
-    char *id;
-    char *service;
-    char *key;
-    void *body;
-    size_t body_bytes;
-    int64_t deadline_us;
+    struct run_order order;
     int64_t retry_us; /* 0 after it was sent */
     void *ctx;
 };
@@ -30,10 +25,7 @@
 {
     struct fwd_order *order = data;
     g_free(order->machine);
-    g_free(order->id);
-    g_free(order->service);
-    g_free(order->key);
-    g_free(order->body);
+    run_order_clear(&order->order);
     g_free(order);
 }
 
@@ -43,8 +35,7 @@
     struct fwd *fwd = g_new0(struct fwd, 1);
     fwd->counters = counters;
     fwd->callbacks = *callbacks;
-    fwd->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                        fwd_order_free);
+    fwd->orders = run_table_new(fwd_order_free);
     return fwd;
 }
 
@@ -71,11 +62,11 @@
     CH_INVARIANT(order->retry_us != 0);
     struct msg_order message = {
         .qid = order->qid,
-        .id = order->id,
-        .service = order->service,
-        .key = order->key,
-        .budget_us = gth_relay_budget(order->deadline_us - now_us),
-        .body = {.data = order->body, .bytes = order->body_bytes},
+        .id = order->order.id,
+        .service = order->order.service,
+        .key = order->order.key,
+        .budget_us = gth_relay_budget(order->order.deadline_us - now_us),
+        .body = {.data = order->order.body, .bytes = order->order.body_bytes},
     };
     int rc = fwd->callbacks.send(fwd->callbacks.ctx, order->machine, &message);
     order->retry_us = rc == RC_OK ? 0 : now_us + FWD_RETRY_US;
@@ -90,17 +81,12 @@
     struct fwd_order *order = g_new0(struct fwd_order, 1);
     order->qid = fwd->callbacks.next_qid(fwd->callbacks.ctx);
     order->machine = g_strdup(request->machine);
-    order->id = g_strdup(request->id);
-    order->service = g_strdup(request->service);
-    order->key = g_strdup(request->key);
-    order->body = g_memdup2(request->body, request->body_bytes);
-    order->body_bytes = request->body_bytes;
-    order->deadline_us = request->deadline_us;
+    order->order = run_order_copy(&request->order);
     order->retry_us = now_us;
     order->ctx = request->ctx;
     CH_INVARIANT(g_hash_table_insert(fwd->orders, &order->qid, order));
     cnt_add(fwd->counters, "forward_total", NULL);
-    if (now_us < order->deadline_us) {
+    if (now_us < order->order.deadline_us) {
         order->retry_us = MAX(now_us, 1);
         fwd_try(fwd, order, now_us);
     }
@@ -143,16 +129,10 @@
 void
 fwd_tick(struct fwd *fwd, int64_t now_us)
 {
-    GPtrArray *orders = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, fwd->orders);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_add(orders, value);
-    }
+    GPtrArray *orders = run_table_values(fwd->orders);
     for (guint i = 0; i < orders->len; i++) {
         struct fwd_order *order = g_ptr_array_index(orders, i);
-        if (now_us >= order->deadline_us) {
+        if (now_us >= order->order.deadline_us) {
             fwd_finish(fwd, order, RC_OUTCOME_UNKNOWN, NULL, 0);
         }
         else if (order->retry_us != 0 && now_us >= order->retry_us) {
@@ -171,7 +151,7 @@
     g_hash_table_iter_init(&iter, fwd->orders);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct fwd_order *order = value;
-        due_us = MIN(due_us, order->deadline_us);
+        due_us = MIN(due_us, order->order.deadline_us);
         if (order->retry_us != 0) {
             due_us = MIN(due_us, order->retry_us);
         }
--- a/entry/gather.c
+++ b/entry/gather.c
@@ -4,6 +4,7 @@
 #include "common/invariant.h"
 #include "common/rc.h"
 #include "entry/gather.h"
+#include "entry/running.h"
 #include "entry/snapshot.h"
 
 /* Restarts are at most a quarter of all queries. A version that disappears
@@ -111,10 +112,8 @@
     gth->plan = plan;
     gth->counters = counters;
     gth->callbacks = *callbacks;
-    gth->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                         gth_query_free);
-    gth->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                      gth_sent_free);
+    gth->queries = run_table_new(gth_query_free);
+    gth->sent = run_table_new(gth_sent_free);
     bgt_init(&gth->restarts, GTH_RESTART_PERMILLE, GTH_RESTART_BURST);
     return gth;
 }
@@ -674,20 +673,6 @@
     (void)gth_settle(gth, query, now_us);
 }
 
-/* The running queries, safe to walk while some of them end. */
-static GPtrArray *
-gth_snapshot_queries(const struct gth *gth)
-{
-    GPtrArray *queries = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer query = NULL;
-    g_hash_table_iter_init(&iter, gth->queries);
-    while (g_hash_table_iter_next(&iter, NULL, &query)) {
-        g_ptr_array_add(queries, query);
-    }
-    return queries;
-}
-
 void
 gth_relay_lost(struct gth *gth, uint32_t relay, int64_t now_us)
 {
@@ -706,7 +691,7 @@
 void
 gth_map_changed(struct gth *gth, int64_t now_us)
 {
-    GPtrArray *queries = gth_snapshot_queries(gth);
+    GPtrArray *queries = run_table_values(gth->queries);
     for (guint i = 0; i < queries->len; i++) {
         struct gth_query *query = g_ptr_array_index(queries, i);
         if ((query->retry_us != 0 || query->version == 0) &&
@@ -721,7 +706,7 @@
 void
 gth_tick(struct gth *gth, int64_t now_us)
 {
-    GPtrArray *queries = gth_snapshot_queries(gth);
+    GPtrArray *queries = run_table_values(gth->queries);
     for (guint i = 0; i < queries->len; i++) {
         struct gth_query *query = g_ptr_array_index(queries, i);
         if (query->retry_us != 0 && now_us >= query->retry_us &&
--- a/entry/order.c
+++ b/entry/order.c
@@ -14,12 +14,7 @@
 
 struct ord_run {
     uint64_t seq;
-    char *id;
-    char *service;
-    char *key;
-    void *body;
-    size_t body_bytes;
-    int64_t deadline_us;
+    struct run_order order;
     int last_rc;           /* why the last try did not run, RC_OK for none */
     uint64_t gone_version; /* a searcher said that it is gone, 0 for none */
     uint64_t version;      /* of the last EXEC */
@@ -42,10 +37,7 @@
 ord_run_free(gpointer data)
 {
     struct ord_run *run = data;
-    g_free(run->id);
-    g_free(run->service);
-    g_free(run->key);
-    g_free(run->body);
+    run_order_clear(&run->order);
     g_ptr_array_free(run->waiters, TRUE);
     g_free(run);
 }
@@ -59,8 +51,7 @@
     ord->plan = plan;
     ord->counters = counters;
     ord->callbacks = *callbacks;
-    ord->runs =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, ord_run_free);
+    ord->runs = run_table_new(ord_run_free);
     return ord;
 }
 
@@ -118,13 +109,13 @@
 ord_route(struct ord *ord, const struct ord_run *run, uint64_t *version,
           uint64_t *shard)
 {
-    const struct pln_layout *layout =
-        snp_pick(pln_layouts(ord->plan, run->service), run->gone_version);
+    const struct pln_layout *layout = snp_pick(
+        pln_layouts(ord->plan, run->order.service), run->gone_version);
     if (layout == NULL) {
         return NULL;
     }
     *version = layout->version;
-    *shard = snp_key_shard(run->key, layout->shards);
+    *shard = snp_key_shard(run->order.key, layout->shards);
     return pln_holder_pick(layout, *shard, run->tries);
 }
 
@@ -143,13 +134,13 @@
     }
     struct msg_exec exec = {
         .qid = ord->callbacks.next_qid(ord->callbacks.ctx),
-        .id = run->id,
-        .service = run->service,
+        .id = run->order.id,
+        .service = run->order.service,
         .instance = holder->instance,
         .shard = shard,
         .version = version,
-        .budget_us = gth_relay_budget(run->deadline_us - now_us),
-        .body = {.data = run->body, .bytes = run->body_bytes},
+        .budget_us = gth_relay_budget(run->order.deadline_us - now_us),
+        .body = {.data = run->order.body, .bytes = run->order.body_bytes},
     };
     run->tries += 1;
     run->qid = exec.qid;
@@ -180,12 +171,7 @@
 {
     struct ord_run *run = g_new0(struct ord_run, 1);
     run->seq = request->seq;
-    run->id = g_strdup(request->id);
-    run->service = g_strdup(request->service);
-    run->key = g_strdup(request->key);
-    run->body = g_memdup2(request->body, request->body_bytes);
-    run->body_bytes = request->body_bytes;
-    run->deadline_us = request->deadline_us;
+    run->order = run_order_copy(&request->order);
     run->waiters = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_insert(ord->runs, &run->seq, run);
     return run;
@@ -212,14 +198,14 @@
     CH_INVARIANT((run != NULL) == (outcome.state == RID_RUNNING));
     if (run != NULL) {
         cnt_add(ord->counters, "order_repeat_total", "running");
-        return ord_add_waiter(run, request->deadline_us, waiter_ctx);
+        return ord_add_waiter(run, request->order.deadline_us, waiter_ctx);
     }
     cnt_add(ord->counters, "order_total", NULL);
     rid_begin(ord->rid, request->seq);
     run = ord_run_new(ord, request);
     struct ord_waiter *waiter =
-        ord_add_waiter(run, request->deadline_us, waiter_ctx);
-    if (now_us >= run->deadline_us) {
+        ord_add_waiter(run, request->order.deadline_us, waiter_ctx);
+    if (now_us >= run->order.deadline_us) {
         rid_end_not_run(ord->rid, run->seq, RC_TOO_LATE);
         ord_finish(ord, run, now_us);
         return NULL;
@@ -278,7 +264,7 @@
         cnt_add(ord->counters, "order_unknown_total", rc_name(rc));
         rid_end_unknown(ord->rid, seq);
     }
-    else if (ord_is_retried(rc) && now_us < run->deadline_us) {
+    else if (ord_is_retried(rc) && now_us < run->order.deadline_us) {
         rid_exec_not_run(ord->rid, seq, reply->qid);
         run->qid = 0;
         run->gone_version = rc == RC_VERSION_GONE ? run->version : 0;
@@ -292,24 +278,10 @@
     ord_finish(ord, run, now_us);
 }
 
-/* The runs, safe to walk while some of them end. */
-static GPtrArray *
-ord_snapshot_runs(const struct ord *ord)
-{
-    GPtrArray *runs = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer run = NULL;
-    g_hash_table_iter_init(&iter, ord->runs);
-    while (g_hash_table_iter_next(&iter, NULL, &run)) {
-        g_ptr_array_add(runs, run);
-    }
-    return runs;
-}
-
 void
 ord_relay_lost(struct ord *ord, uint32_t relay, int64_t now_us)
 {
-    GPtrArray *runs = ord_snapshot_runs(ord);
+    GPtrArray *runs = run_table_values(ord->runs);
     for (guint i = 0; i < runs->len; i++) {
         struct ord_run *run = g_ptr_array_index(runs, i);
         if (run->qid != 0 && run->relay == relay) {
@@ -325,10 +297,10 @@
 void
 ord_map_changed(struct ord *ord, int64_t now_us)
 {
-    GPtrArray *runs = ord_snapshot_runs(ord);
+    GPtrArray *runs = run_table_values(ord->runs);
     for (guint i = 0; i < runs->len; i++) {
         struct ord_run *run = g_ptr_array_index(runs, i);
-        if (run->qid == 0 && now_us < run->deadline_us) {
+        if (run->qid == 0 && now_us < run->order.deadline_us) {
             ord_try(ord, run, now_us);
         }
     }
@@ -371,10 +343,10 @@
 void
 ord_tick(struct ord *ord, int64_t now_us)
 {
-    GPtrArray *runs = ord_snapshot_runs(ord);
+    GPtrArray *runs = run_table_values(ord->runs);
     for (guint i = 0; i < runs->len; i++) {
         struct ord_run *run = g_ptr_array_index(runs, i);
-        if (now_us >= run->deadline_us) {
+        if (now_us >= run->order.deadline_us) {
             ord_end(ord, run, now_us);
             continue;
         }
@@ -395,7 +367,7 @@
     g_hash_table_iter_init(&iter, ord->runs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct ord_run *run = value;
-        due_us = MIN(due_us, run->deadline_us);
+        due_us = MIN(due_us, run->order.deadline_us);
         if (run->qid == 0) {
             due_us = MIN(due_us, run->retry_us);
         }
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -179,13 +179,16 @@
     int64_t now_us = app_now_us();
     const struct ord_request request = {
         .seq = id.seq,
-        .id = message->id,
-        .service = message->service,
-        .key = message->key,
-        .body = message->body.data,
-        .body_bytes = message->body.bytes,
-        .deadline_us =
-            now_us + CLAMP(message->budget_us, 0, deadline_max_ms * 1000),
+        .order =
+            {
+                .id = message->id,
+                .service = message->service,
+                .key = message->key,
+                .body = message->body.data,
+                .body_bytes = message->body.bytes,
+                .deadline_us = now_us + CLAMP(message->budget_us, 0,
+                                              deadline_max_ms * 1000),
+            },
     };
     (void)ord_submit(app->orders, &request, &wait->wait, now_us);
 }
@@ -240,30 +243,23 @@
 }
 
 static void
-orders_run_here(struct orders_call *call, const char *service,
-                const struct orders_body *body, const char *text)
+orders_run_here(struct orders_call *call, const struct run_order *order,
+                int64_t now_us)
 {
-    struct app *app = call->app;
-    int64_t now_us = app_now_us();
-    const struct ord_request order = {
+    const struct ord_request request = {
         .seq = call->id.seq,
-        .id = body->id,
-        .service = service,
-        .key = body->key,
-        .body = text,
-        .body_bytes = strlen(text),
-        .deadline_us = now_us + body->deadline_ms * 1000,
+        .order = *order,
     };
     struct ord_waiter *waiter =
-        ord_submit(app->orders, &order, &call->wait, now_us);
+        ord_submit(call->app->orders, &request, &call->wait, now_us);
     if (waiter != NULL) {
         call->waiter = waiter;
     }
 }
 
 static void
-orders_forward(struct orders_call *call, const char *service,
-               const struct orders_body *body, const char *text)
+orders_forward(struct orders_call *call, const struct run_order *order,
+               int64_t now_us)
 {
     struct app *app = call->app;
     if (!prs_knows(app->peers, call->id.machine) ||
@@ -272,18 +268,12 @@
         orders_on_done(call, RC_OUTCOME_UNKNOWN, NULL, 0);
         return;
     }
-    int64_t now_us = app_now_us();
-    const struct fwd_request order = {
+    const struct fwd_request request = {
         .machine = call->id.machine,
-        .id = body->id,
-        .service = service,
-        .key = body->key,
-        .body = text,
-        .body_bytes = strlen(text),
-        .deadline_us = now_us + body->deadline_ms * 1000,
+        .order = *order,
         .ctx = &call->wait,
     };
-    call->forward = fwd_start(app->forwards, &order, now_us);
+    call->forward = fwd_start(app->forwards, &request, now_us);
 }
 
 static void
@@ -306,11 +296,20 @@
     request->on_gone = orders_on_gone;
     request->ctx = call;
     char *text = orders_body_text(body->body);
+    int64_t now_us = app_now_us();
+    const struct run_order order = {
+        .id = body->id,
+        .service = service,
+        .key = body->key,
+        .body = text,
+        .body_bytes = strlen(text),
+        .deadline_us = now_us + body->deadline_ms * 1000,
+    };
     if (rid_is_own(app->ids, &id)) {
-        orders_run_here(call, service, body, text);
+        orders_run_here(call, &order, now_us);
     }
     else {
-        orders_forward(call, service, body, text);
+        orders_forward(call, &order, now_us);
     }
     free(text);
 }
--- a/include/entry/forward.h
+++ b/include/entry/forward.h
@@ -6,6 +6,7 @@
 
 #include "common/counter.h"
 #include "common/msg.h"
+#include "entry/running.h"
 
 /*
  * Orders forwarded to the entries that issued their ids. Only the owner knows
@@ -22,12 +23,7 @@
 
 struct fwd_request {
     const char *machine; /* named in the id */
-    const char *id;
-    const char *service;
-    const char *key;
-    const void *body;
-    size_t body_bytes;
-    int64_t deadline_us;
+    struct run_order order;
     void *ctx;
 };
 
--- a/include/entry/order.h
+++ b/include/entry/order.h
@@ -9,6 +9,7 @@
 #include "common/msg.h"
 #include "entry/plan.h"
 #include "entry/reqid.h"
+#include "entry/running.h"
 
 /*
  * Running orders of the ids that this process issued. The rules on ids are in
@@ -24,12 +25,7 @@
 
 struct ord_request {
     uint64_t seq; /* of a valid own id, see rid_look() */
-    const char *id;
-    const char *service;
-    const char *key;
-    const void *body;
-    size_t body_bytes;
-    int64_t deadline_us;
+    struct run_order order;
 };
 
 struct ord_callbacks {
--- a/tests/entry/soak_entry.c
+++ b/tests/entry/soak_entry.c
@@ -669,12 +669,15 @@
                            : "";
     const struct ord_request request = {
         .seq = seq,
-        .id = text,
-        .service = SERVICE,
-        .key = text,
-        .body = "b",
-        .body_bytes = 1,
-        .deadline_us = soak->now_us + between(soak, 0, 150) * MS,
+        .order =
+            {
+                .id = text,
+                .service = SERVICE,
+                .key = text,
+                .body = "b",
+                .body_bytes = 1,
+                .deadline_us = soak->now_us + between(soak, 0, 150) * MS,
+            },
     };
     soak->waiting += 1;
     struct ord_waiter *waiter = ord_submit(
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -441,12 +441,15 @@
     test->out = out;
     const struct ord_request request = {
         .seq = (uint64_t)scr_number(argc, argv, 2),
-        .id = "id",
-        .service = "desk",
-        .key = "k",
-        .body = "b",
-        .body_bytes = 1,
-        .deadline_us = test->now_us + scr_number(argc, argv, 3) * 1000,
+        .order =
+            {
+                .id = "id",
+                .service = "desk",
+                .key = "k",
+                .body = "b",
+                .body_bytes = 1,
+                .deadline_us = test->now_us + scr_number(argc, argv, 3) * 1000,
+            },
     };
     (void)ord_submit(test->orders, &request, keep(argv[1]), test->now_us);
 }
@@ -488,12 +491,15 @@
     test->out = out;
     const struct fwd_request request = {
         .machine = argv[2],
-        .id = "id",
-        .service = "desk",
-        .key = "k",
-        .body = "b",
-        .body_bytes = 1,
-        .deadline_us = test->now_us + scr_number(argc, argv, 3) * 1000,
+        .order =
+            {
+                .id = "id",
+                .service = "desk",
+                .key = "k",
+                .body = "b",
+                .body_bytes = 1,
+                .deadline_us = test->now_us + scr_number(argc, argv, 3) * 1000,
+            },
         .ctx = keep(argv[1]),
     };
     (void)fwd_start(test->forwards, &request, test->now_us);
