Merge duplicates in ctl, load and the scripts

Change: src_open() and src_close(), cal_is_settled(), machine_wait() and machines_start() take their place.

--- a/ctl/commands/apply.c
+++ b/ctl/commands/apply.c
@@ -6,13 +6,9 @@
 enum ctl_exit
 cmd_apply(struct ctl *ctl, int argc, char **argv)
 {
-    struct fil_document document = {.root = NULL};
-    enum ctl_exit code = src_load(ctl, &document);
-    if (code != CTL_DONE) {
-        return code;
-    }
+    struct fil_document document;
     struct obj current;
-    code = src_read(ctl, &current);
+    enum ctl_exit code = src_open(ctl, &document, &current);
     if (code == CTL_DONE) {
         code = src_check_revision(ctl, &current);
     }
@@ -26,7 +22,6 @@
         code = pub_write(ctl, &current, document.root, changes);
         g_ptr_array_free(changes, TRUE);
     }
-    obj_clear(&current);
-    fil_clear(&document);
+    src_close(&document, &current);
     return code;
 }
--- a/ctl/commands/diff.c
+++ b/ctl/commands/diff.c
@@ -9,13 +9,9 @@
 enum ctl_exit
 cmd_diff(struct ctl *ctl, int argc, char **argv)
 {
-    struct fil_document document = {.root = NULL};
-    enum ctl_exit code = src_load(ctl, &document);
-    if (code != CTL_DONE) {
-        return code;
-    }
+    struct fil_document document;
     struct obj current;
-    code = src_read(ctl, &current);
+    enum ctl_exit code = src_open(ctl, &document, &current);
     if (code == CTL_DONE) {
         GPtrArray *changes = dif_compare(current.value, document.root);
         ctl_print(ctl, "changes against revision %" PRId64 ": %u",
@@ -26,7 +22,6 @@
                             json_integer(obj_number(&current)));
         g_ptr_array_free(changes, TRUE);
     }
-    obj_clear(&current);
-    fil_clear(&document);
+    src_close(&document, &current);
     return code;
 }
--- a/ctl/source.c
+++ b/ctl/source.c
@@ -31,6 +31,22 @@
     return CTL_DONE;
 }
 
+enum ctl_exit
+src_open(struct ctl *ctl, struct fil_document *document, struct obj *current)
+{
+    *document = (struct fil_document){.root = NULL};
+    *current = (struct obj){.value = NULL};
+    enum ctl_exit code = src_load(ctl, document);
+    return code == CTL_DONE ? src_read(ctl, current) : code;
+}
+
+void
+src_close(struct fil_document *document, struct obj *current)
+{
+    obj_clear(current);
+    fil_clear(document);
+}
+
 enum ctl_exit
 src_check_revision(struct ctl *ctl, const struct obj *current)
 {
--- a/load/caller.c
+++ b/load/caller.c
@@ -148,24 +148,38 @@
 
 static void cal_start_search(struct cal_request *request);
 
+/*
+ * Repeats a request without an answer or ends it with an error or a refusal.
+ * Returns false for an answer that is left to the caller.
+ */
+static bool
+cal_is_settled(struct cal_request *request, const struct xch_result *result,
+               void (*start)(struct cal_request *request))
+{
+    if (result->rc == RC_OK && result->status == 200) {
+        return false;
+    }
+    if (result->rc == RC_OK) {
+        cal_refuse(request, result);
+        return true;
+    }
+    cal_note_failure(request, result->rc);
+    if (cal_may_repeat(request, result->rc)) {
+        request->is_second = true;
+        request->callers->report->retries += 1;
+        start(request);
+        return true;
+    }
+    cal_end_error(request, result->rc);
+    return true;
+}
+
 static void
 cal_on_search(const struct xch_result *result, void *ctx)
 {
     struct cal_request *request = ctx;
     struct cal *callers = request->callers;
-    if (result->rc != RC_OK) {
-        cal_note_failure(request, result->rc);
-        if (cal_may_repeat(request, result->rc)) {
-            request->is_second = true;
-            callers->report->retries += 1;
-            cal_start_search(request);
-            return;
-        }
-        cal_end_error(request, result->rc);
-        return;
-    }
-    if (result->status != 200) {
-        cal_refuse(request, result);
+    if (cal_is_settled(request, result, cal_start_search)) {
         return;
     }
     struct chk_query query = {
@@ -272,19 +286,7 @@
 cal_on_id(const struct xch_result *result, void *ctx)
 {
     struct cal_request *request = ctx;
-    if (result->rc != RC_OK) {
-        cal_note_failure(request, result->rc);
-        if (cal_may_repeat(request, result->rc)) {
-            request->is_second = true;
-            request->callers->report->retries += 1;
-            cal_start_id(request);
-            return;
-        }
-        cal_end_error(request, result->rc);
-        return;
-    }
-    if (result->status != 200) {
-        cal_refuse(request, result);
+    if (cal_is_settled(request, result, cal_start_id)) {
         return;
     }
     json_t *body = json_loadb(result->body, result->body_bytes, 0, NULL);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -146,34 +146,48 @@
         --peer-listen "$(entry_peer "$1")" --agent "$(agent_address "$1")"
 }
 
-# machine_stop INDEX: planned stop; returns when all three have exited.
-machine_stop() {
-    local i=$1 role
+# machine_signal INDEX SIGNAL
+machine_signal() {
+    local role
     for role in agent entry relay; do
-        kill -TERM "${DEP_PIDS[$role$i]}" 2>/dev/null || true
-    done
-    for role in entry relay agent; do
-        wait "${DEP_PIDS[$role$i]}" 2>/dev/null || true
-        unset "DEP_PIDS[$role$i]"
+        kill -"$2" "${DEP_PIDS[$role$1]}" 2>/dev/null || true
     done
 }
 
-# machine_kill INDEX: the VM fails without notice.
-machine_kill() {
+# machine_wait INDEX: returns when all three have exited.
+machine_wait() {
     local role
-    for role in agent entry relay; do
-        kill -KILL "${DEP_PIDS[$role$1]}" 2>/dev/null || true
-    done
-    for role in agent entry relay; do
+    for role in entry relay agent; do
         wait "${DEP_PIDS[$role$1]}" 2>/dev/null || true
         unset "DEP_PIDS[$role$1]"
     done
 }
 
-machine_signal() {
-    local role
-    for role in agent entry relay; do
-        kill -"$2" "${DEP_PIDS[$role$1]}" 2>/dev/null || true
+# machine_stop INDEX: planned stop; returns when all three have exited.
+machine_stop() {
+    machine_signal "$1" TERM
+    machine_wait "$1"
+}
+
+# machine_kill INDEX: the VM fails without notice.
+machine_kill() {
+    machine_signal "$1" KILL
+    machine_wait "$1"
+}
+
+# machines_start COUNT ZONE...: machines 0..COUNT-1, the zones in turn; returns
+# when their agents answer.
+machines_start() {
+    local count=$1 i
+    shift
+    local zones=("$@")
+    AGENTS=$(dep_list agent_http "$count")
+    ENTRIES=$(dep_list entry_http "$count")
+    for ((i = 0; i < count; i++)); do
+        machine_start "$i" "${zones[$((i % ${#zones[@]}))]}"
+    done
+    for ((i = 0; i < count; i++)); do
+        dep_wait 10 http_get "$(agent_http "$i")/status"
     done
 }
 
--- a/scripts/lodz.sh
+++ b/scripts/lodz.sh
@@ -29,16 +29,9 @@
 lodz_start() {
     local machines=$1 i
     shift
-    AGENTS=$(dep_list agent_http "$machines")
-    ENTRIES=$(dep_list entry_http "$machines")
     store_start
     lodz_searchers "$@"
-    for ((i = 0; i < machines; i++)); do
-        machine_start "$i" "${LODZ_ZONES[$((i % 3))]}"
-    done
-    for ((i = 0; i < machines; i++)); do
-        dep_wait 10 http_get "$(agent_http "$i")/status"
-    done
+    machines_start "$machines" "${LODZ_ZONES[@]}"
     ctl --base examples/lodz/base.yaml --overlay examples/lodz/site.yaml apply
     for ((i = 0; i < machines; i++)); do
         dep_wait 20 search_complete "$(entry_http "$i")" dispatch
--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -76,16 +76,9 @@
     shift
     MACHINES=$machines
     dep_open
-    AGENTS=$(dep_list agent_http "$machines")
-    ENTRIES=$(dep_list entry_http "$machines")
     store_start
     searchers_start "$@"
-    for ((i = 0; i < machines; i++)); do
-        machine_start "$i" "${ZONES[$((i % 3))]}"
-    done
-    for ((i = 0; i < machines; i++)); do
-        dep_wait 10 http_get "$(agent_http "$i")/status"
-    done
+    machines_start "$machines" "${ZONES[@]}"
     write_config "$RUN_DIR/desk.yaml"
     quiet ctl --base "$RUN_DIR/desk.yaml" apply
     for ((i = 0; i < machines; i++)); do
