Demo: show the answers instead of 376 lines of added values

scripts/demo printed each default of the first configuration before its first answer. The lines are in the log directory.

--- a/scripts/lodz.sh
+++ b/scripts/lodz.sh
@@ -32,7 +32,8 @@
     store_start
     lodz_searchers "$@"
     machines_start "$machines" "${LODZ_ZONES[@]}"
-    ctl --base examples/lodz/base.yaml --overlay examples/lodz/site.yaml apply
+    ctl --base examples/lodz/base.yaml --overlay examples/lodz/site.yaml \
+        apply >"$RUN_DIR/apply.log"
     for ((i = 0; i < machines; i++)); do
         dep_wait 20 search_complete "$(entry_http "$i")" dispatch
         dep_wait 20 search_complete "$(entry_http "$i")" billing
