Refuse arguments that a program does not take

Cause: `carobhatch-agent ... extra` started and passed "extra" over, and so it would with "peers=10.0.0.1:7100" for "--peers=...". Only carobhatchctl takes arguments.

--- a/common/log.c
+++ b/common/log.c
@@ -72,7 +72,7 @@
     int priority = log_priority_parse(level);
     if (priority == LOG4C_PRIORITY_UNKNOWN) {
         (void)fprintf(stderr,
-                      "--log-level: '%s' is not error, warn, info "
+                      "usage: --log-level: '%s' is not error, warn, info "
                       "or debug\n",
                       level);
         return RC_USAGE;
--- a/common/opt.c
+++ b/common/opt.c
@@ -171,6 +171,10 @@
         rc =
             opt_read_flags(argc, argv, specs, count, arguments, summary, seen);
     }
+    if (rc == RC_OK && arguments == NULL && *argc > 1) {
+        (void)fprintf(stderr, "usage: '%s' is not an option\n", (*argv)[1]);
+        rc = RC_USAGE;
+    }
     if (rc == RC_OK) {
         rc = opt_check_required(specs, count, seen);
     }
--- a/include/common/opt.h
+++ b/include/common/opt.h
@@ -48,8 +48,9 @@
 
 /*
  * Reads environment and flags into the targets. `*argv` keeps the program's
- * name and the remaining arguments. Returns RC_OK, or RC_USAGE after printing
- * what is wrong to stderr. Exits with 0 after --help and --version.
+ * name and the remaining arguments, which are refused if `arguments` is NULL:
+ * a mistyped option must not be passed over. Returns RC_OK, or RC_USAGE after
+ * printing what is wrong to stderr. Exits with 0 after --help and --version.
  */
 int opt_parse(int *argc, char ***argv, const struct opt_spec *specs,
               size_t count, const char *arguments, const char *summary);
--- a/tests/common/test_common.c
+++ b/tests/common/test_common.c
@@ -11,6 +11,7 @@
 #include "common/hist.h"
 #include "common/msg.h"
 #include "common/net.h"
+#include "common/opt.h"
 #include "common/rc.h"
 #include "script.h"
 
@@ -126,8 +127,32 @@
     msgpack_sbuffer_destroy(&buffer);
 }
 
+/* options PARAMETERS ARG...: how a program without ("-") or with positional
+ * arguments takes these. */
+static void
+run_options(void *ctx, int argc, char **argv, GString *out)
+{
+    int64_t rate = 0;
+    const struct opt_spec specs[] = {
+        {.name = "rate",
+         .kind = OPT_INT,
+         .target = &rate,
+         .help = "Rate",
+         .arg = "N",
+         .min = 1,
+         .max = 9},
+    };
+    const char *arguments = strcmp(argv[1], "-") == 0 ? NULL : argv[1];
+    int count = argc - 1;
+    char **args = argv + 1;
+    int rc = opt_parse(&count, &args, specs, 1, arguments, NULL);
+    g_string_append_printf(out, "%s rate=%" PRId64 " left=%d", rc_name(rc),
+                           rate, count - 1);
+}
+
 static const struct scr_command commands[] = {
     {"hist", run_hist},
+    {"options", run_options},
     {"budget", run_budget},
     {"rc", run_rc},
     {"address", run_address},
