scripts: name the processes that have ended

Cause: with a searcher port in use the demo went on with the foreign process and failed at an order without a message; with a machine's port in use it only said that it gave up waiting.

Change: dep_check() names each process that has ended and the last line of its log, after the machines have started and when a wait ends.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -42,6 +42,19 @@
     kill -0 "${DEP_PIDS[$1]:-0}" 2>/dev/null
 }
 
+# dep_check: fails and names the processes that have ended, for example because
+# a port is in use.
+dep_check() {
+    local name status=0
+    for name in "${!DEP_PIDS[@]}"; do
+        if ! dep_alive "$name"; then
+            echo "$name has ended: $(tail -n 1 "$RUN_DIR/$name.log")" >&2
+            status=1
+        fi
+    done
+    return "$status"
+}
+
 dep_close() {
     local name status=$?
     # The shell would report each killed process on stderr.
@@ -88,6 +101,7 @@
         tries=$((tries - 1))
         if [ "$tries" -le 0 ]; then
             echo "gave up waiting for: $*" >&2
+            dep_check || true
             return 1
         fi
         sleep 0.05
@@ -189,6 +203,7 @@
     for ((i = 0; i < count; i++)); do
         dep_wait 10 http_get "$(agent_http "$i")/status"
     done
+    dep_check
 }
 
 ctl() {
