--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -49,17 +49,11 @@
     local machines=$2 i name
     site_select "$1"
     shift 2
-    AGENTS=$(dep_list agent_http "$machines")
-    ENTRIES=$(dep_list entry_http "$machines")
     store_start
     site_searchers "$@"
-    for ((i = 0; i < machines; i++)); do
-        machine_start "$i" "${SITE_ZONES[$((i % 3))]}"
-    done
-    for ((i = 0; i < machines; i++)); do
-        dep_wait 10 http_get "$(agent_http "$i")/status"
-    done
-    ctl --base "examples/$SITE/base.yaml" --overlay "examples/$SITE/site.yaml" apply
+    machines_start "$machines" "${SITE_ZONES[@]}"
+    ctl --base "examples/$SITE/base.yaml" --overlay "examples/$SITE/site.yaml" \
+        apply >"$RUN_DIR/apply.log"
     for ((i = 0; i < machines; i++)); do
         for name in $SITE_NAMES; do
             dep_wait 20 search_complete "$(entry_http "$i")" "$name"
