Name zone_out for shards whose searchers are all out of service

Change: the entry counts the instances of the service that no searcher may serve; up to that many missing shards without a relay are zone_out.

--- a/common/config.c
+++ b/common/config.c
@@ -47,6 +47,29 @@
     return false;
 }
 
+static bool
+cfg_instance_is_served(const struct cfg *cfg,
+                       const struct cfg_instance *instance)
+{
+    for (size_t i = 0; i < instance->searcher_count; i++) {
+        const struct cfg_searcher *searcher = &instance->searchers[i];
+        if (!searcher->is_leaving && cfg_zone_is_in(cfg, searcher->zone)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+cfg_idle_instances(const struct cfg *cfg, const struct cfg_service *service)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < service->instance_count; i++) {
+        count += !cfg_instance_is_served(cfg, &service->instances[i]);
+    }
+    return count;
+}
+
 uint64_t
 cfg_digest(const char *json, size_t json_bytes)
 {
--- a/entry/app.c
+++ b/entry/app.c
@@ -32,6 +32,16 @@
     return ++app->last_qid;
 }
 
+/* As gth_callbacks wants it. */
+static size_t
+app_idle_instances(void *ctx, const char *service)
+{
+    const struct app *app = ctx;
+    const struct cfg_service *declared =
+        app->config != NULL ? cfg_service_find(app->config, service) : NULL;
+    return declared != NULL ? cfg_idle_instances(app->config, declared) : 0;
+}
+
 const struct msg_state *
 app_state(const struct app *app)
 {
@@ -218,6 +228,7 @@
         .send = rly_send_query,
         .cancel = rly_send_cancel,
         .finish = search_on_finish,
+        .idle_instances = app_idle_instances,
         .next_qid = app_next_qid,
         .ctx = app,
     };
--- a/entry/gather_answer.c
+++ b/entry/gather_answer.c
@@ -57,11 +57,38 @@
     return missing;
 }
 
+/*
+ * Relays do not offer what no searcher may serve. As many shards as there are
+ * such instances are missing for that reason, not for want of a relay.
+ */
+static void
+gth_explain_unrouted(const struct gth *gth, const struct gth_query *query,
+                     GArray *missing)
+{
+    size_t unrouted = 0;
+    for (guint i = 0; i < missing->len; i++) {
+        unrouted +=
+            g_array_index(missing, struct gth_missing, i).rc == RC_NO_RELAY;
+    }
+    if (unrouted == 0 || unrouted > gth->callbacks.idle_instances(
+                                        gth->callbacks.ctx, query->service)) {
+        return;
+    }
+    for (guint i = 0; i < missing->len; i++) {
+        struct gth_missing *item =
+            &g_array_index(missing, struct gth_missing, i);
+        if (item->rc == RC_NO_RELAY) {
+            item->rc = RC_ZONE_OUT;
+        }
+    }
+}
+
 void
 gth_finish(struct gth *gth, struct gth_query *query)
 {
     gth_cancel_sent(gth, query);
     GArray *missing = gth_collect_missing(query);
+    gth_explain_unrouted(gth, query, missing);
     /* Each needed shard is either done once or listed as missing. */
     CH_INVARIANT(query->done_count + missing->len == query->part_count);
     g_array_sort(query->hits, gth_hit_compare);
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -91,6 +91,11 @@
 /* False for a zone that is out or not declared. */
 bool cfg_zone_is_in(const struct cfg *cfg, const char *name);
 
+/* Instances of the service that no searcher may serve now: each is leaving or
+ * in a zone that is out. */
+size_t cfg_idle_instances(const struct cfg *cfg,
+                          const struct cfg_service *service);
+
 /* Digest of a document, the same on every machine. */
 uint64_t cfg_digest(const char *json, size_t json_bytes);
 
--- a/include/entry/gather.h
+++ b/include/entry/gather.h
@@ -63,6 +63,8 @@
      * afterwards. Must not call into the gatherer. */
     void (*finish)(void *ctx, void *request_ctx,
                    const struct gth_answer *answer);
+    /* Instances of the service whose searchers are all out of service. */
+    size_t (*idle_instances)(void *ctx, const char *service);
     /* Returns a number that is used once in this process. */
     uint64_t (*next_qid)(void *ctx);
     void *ctx;
--- a/tests/entry/soak_entry.c
+++ b/tests/entry/soak_entry.c
@@ -517,6 +517,12 @@
     return ++soak->last_qid;
 }
 
+static size_t
+on_idle(void *ctx, const char *service)
+{
+    return 0;
+}
+
 static void
 entry_receive(struct soak *soak, const struct event *event)
 {
@@ -837,6 +843,7 @@
     const struct gth_callbacks gather = {.send = on_query,
                                          .cancel = on_cancel,
                                          .finish = on_answer,
+                                         .idle_instances = on_idle,
                                          .next_qid = on_qid,
                                          .ctx = soak};
     soak->gather = gth_new(soak->plan, soak->counters, &gather);
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -32,6 +32,7 @@
     int64_t now_us;
     uint64_t last_qid;
     int send_rc;
+    size_t idle_instances;
     GString *out; /* of the command that runs */
 };
 
@@ -127,6 +128,13 @@
     return ++test->last_qid;
 }
 
+static size_t
+on_idle(void *ctx, const char *service)
+{
+    const struct entry_test *test = ctx;
+    return test->idle_instances;
+}
+
 static int
 setup(void **state)
 {
@@ -137,6 +145,7 @@
     const struct gth_callbacks gather = {.send = on_query,
                                          .cancel = on_cancel,
                                          .finish = on_answer,
+                                         .idle_instances = on_idle,
                                          .next_qid = on_qid,
                                          .ctx = test};
     test->gather = gth_new(test->plan, test->counters, &gather);
@@ -196,6 +205,14 @@
     ord_map_changed(test->orders, test->now_us);
 }
 
+/* idle COUNT: instances whose searchers are all out of service */
+static void
+run_idle(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    test->idle_instances = (size_t)scr_number(argc, argv, 1);
+}
+
 /* offer RELAY MACHINE START SEQ [INSTANCE:EPOCH:VERSION:SHARD:SHARDS...] */
 static void
 run_offer(void *ctx, int argc, char **argv, GString *out)
@@ -647,27 +664,17 @@
 }
 
 static const struct scr_command commands[] = {
-    {"relay", run_relay},
-    {"offer", run_offer},
-    {"pick", run_pick},
-    {"wait", run_wait},
-    {"link", run_link},
-    {"search", run_search},
-    {"abandon", run_abandon},
-    {"warm", run_warm},
-    {"reply", run_reply},
-    {"count", run_count},
-    {"id", run_id},
-    {"parse-id", run_parse_id},
-    {"order", run_order},
-    {"executed", run_executed},
-    {"not-run", run_not_run},
-    {"forward", run_forward},
-    {"forwarded", run_forwarded},
-    {"callers", run_callers},
-    {"take", run_take},
-    {"entries", run_entries},
-    {"spread", run_spread},
+    {"relay", run_relay},       {"offer", run_offer},
+    {"pick", run_pick},         {"wait", run_wait},
+    {"link", run_link},         {"idle", run_idle},
+    {"search", run_search},     {"abandon", run_abandon},
+    {"warm", run_warm},         {"reply", run_reply},
+    {"count", run_count},       {"id", run_id},
+    {"parse-id", run_parse_id}, {"order", run_order},
+    {"executed", run_executed}, {"not-run", run_not_run},
+    {"forward", run_forward},   {"forwarded", run_forwarded},
+    {"callers", run_callers},   {"take", run_take},
+    {"entries", run_entries},   {"spread", run_spread},
     {"body", run_body},
 };
 
