--- a/agent/agent.c
+++ b/agent/agent.c
@@ -366,6 +366,7 @@
             RC_OK) {
         return RC_IO;
     }
+    prs_set_drop(agent->peers, (uint32_t)options->drop_permille);
     agent->subscribers = sub_new(agent->peers, agent->counters);
     agent->cell = agent_cell_new(agent);
     agent->poll = agent_poll_new(agent);
--- a/agent/options.c
+++ b/agent/options.c
@@ -67,6 +67,12 @@
          .help = "Longest time of a planned stop in ms (15000)",
          .arg = "MS",
          .max = 600000},
+        {.name = "drop-permille",
+         .kind = OPT_INT,
+         .target = &options->drop_permille,
+         .help = "For tests: share of messages from agents to drop (0)",
+         .arg = "N",
+         .max = 1000},
     };
     return opt_parse(&argc, &argv, specs, G_N_ELEMENTS(specs), NULL,
                      "carobhatch agent");
--- a/agent/peer.c
+++ b/agent/peer.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdbool.h>
 #include <string.h>
 
 #include "agent/peer.h"
@@ -20,6 +21,10 @@
     void *ctx;
     GHashTable *conns; /* address to struct prs_conn */
     msgpack_sbuffer buffer;
+    uint32_t drop_permille;
+    uint64_t *sent_bytes;          /* to agents, entry and relay */
+    uint64_t *peer_sent_bytes;     /* of these, to agents */
+    uint64_t *peer_received_bytes; /* from agents */
 };
 
 static void
@@ -30,6 +35,20 @@
     g_free(conn);
 }
 
+/* Messages between agents; the others are of the local entry and relay. */
+static const bool prs_is_of_agents[MSG_TYPE_COUNT] = {
+    [MSG_BEAT] = true,    [MSG_BEAT_ACK] = true, [MSG_ASK] = true,
+    [MSG_VOTE] = true,    [MSG_PULL] = true,     [MSG_CONFIG] = true,
+    [MSG_MEMBERS] = true,
+};
+
+static bool
+prs_is_dropped(const struct prs *peers)
+{
+    return peers->drop_permille > 0 &&
+           (uint32_t)g_random_int_range(0, 1000) < peers->drop_permille;
+}
+
 static void
 prs_on_message(struct zsk_socket *socket, const struct zsk_peer *peer,
                const void *data, size_t data_bytes, void *ctx)
@@ -40,6 +59,14 @@
         cnt_add(peers->counters, "messages_dropped_total", "malformed");
         return;
     }
+    if (prs_is_of_agents[msg.type]) {
+        *peers->peer_received_bytes += data_bytes;
+        if (prs_is_dropped(peers)) {
+            cnt_add(peers->counters, "messages_dropped_total", "test");
+            msg_clear(&msg);
+            return;
+        }
+    }
     const struct prs_from from = {.socket = socket, .peer = peer};
     peers->receive(peers->ctx, &from, &msg);
     msg_clear(&msg);
@@ -56,6 +83,10 @@
     struct prs *peers = g_new0(struct prs, 1);
     peers->context = context;
     peers->counters = counters;
+    peers->sent_bytes = cnt_get(counters, "messages_sent_bytes_total", NULL);
+    peers->peer_sent_bytes = cnt_get(counters, "peer_sent_bytes_total", NULL);
+    peers->peer_received_bytes =
+        cnt_get(counters, "peer_received_bytes_total", NULL);
     peers->receive = receive;
     peers->ctx = ctx;
     peers->conns =
@@ -83,6 +114,12 @@
     g_free(peers);
 }
 
+void
+prs_set_drop(struct prs *peers, uint32_t permille)
+{
+    peers->drop_permille = permille;
+}
+
 static struct prs_conn *
 prs_conn_get(struct prs *peers, const char *address, int64_t now_us)
 {
@@ -120,8 +157,10 @@
         cnt_add(peers->counters, "messages_not_sent_total", rc_name(rc));
         return rc;
     }
-    *cnt_get(peers->counters, "messages_sent_bytes_total", NULL) +=
-        peers->buffer.size;
+    *peers->sent_bytes += peers->buffer.size;
+    if (prs_is_of_agents[type]) {
+        *peers->peer_sent_bytes += peers->buffer.size;
+    }
     return RC_OK;
 }
 
--- a/include/agent/options.h
+++ b/include/agent/options.h
@@ -16,6 +16,7 @@
     char *relay_address;
     char *peers; /* comma-separated */
     int64_t drain_ms;
+    int64_t drop_permille; /* of messages from other agents; for tests */
     char *log_level;
 };
 
--- a/include/agent/peer.h
+++ b/include/agent/peer.h
@@ -28,6 +28,12 @@
 
 void prs_close(struct prs *peers);
 
+/*
+ * For tests: drops this share of the messages received from other agents at
+ * random. Messages of the local entry and relay are not affected.
+ */
+void prs_set_drop(struct prs *peers, uint32_t permille);
+
 /* Makes sure that there is a connection to the address, without sending. */
 void prs_connect(struct prs *peers, const char *address, int64_t now_us);
 
