standin-store: go down right after a configuration was written

Cause: switching the store off from outside leaves some milliseconds in which watches spread the change, so that no run showed an outage that begins at the effect of the update.

--- a/include/standin/store_fault.h
+++ b/include/standin/store_fault.h
@@ -12,12 +12,17 @@
     int64_t delay_ms;   /* from the effect of a call to its answer */
     int64_t lose_count; /* successful writes that still get no answer */
     int64_t fail_permille;
+    /* Down once the next config write was answered, and no watch was. */
+    bool is_down_after_answer;
+    /* Down once the watches of the next config write were answered. */
+    bool is_down_after_watch;
     uint32_t random; /* state of the generator, not 0 */
 };
 
 /*
- * Applies {"down", "refuse", "delay_ms", "lose_replies", "fail_permille"}.
- * Returns RC_OK, or RC_BAD_FIELD with no change.
+ * Applies {"down", "refuse", "delay_ms", "lose_replies", "fail_permille",
+ * "down_after_answer", "down_after_watch"}. Returns RC_OK, or RC_BAD_FIELD
+ * with no change.
  */
 int flt_apply(struct flt *fault, const json_t *switches);
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -104,11 +104,28 @@
     json_decref(none);
 }
 
+static void
+sto_go_down(struct sto *store)
+{
+    store->fault.is_down = true;
+    wch_abandon(store->watches);
+}
+
 /* Ends a successful write: answers it and the watches of its kind. */
 static void
 sto_finish_write(struct sto *store, struct hsv_request *request,
                  const char *kind, const char *text)
 {
+    bool is_config = strcmp(kind, "config") == 0;
+    if (is_config) {
+        *cnt_get(store->counters, "store_config_written_us", NULL) =
+            (uint64_t)g_get_real_time();
+    }
+    if (is_config && store->fault.is_down_after_watch) {
+        store->fault.is_down_after_watch = false;
+        wch_notify(store->watches, kind);
+        sto_go_down(store);
+    }
     if (flt_loses_reply(&store->fault)) {
         cnt_add(store->counters, "store_replies_lost_total", NULL);
         rpl_never(request);
@@ -116,6 +133,10 @@
     else {
         sto_answer(store, request, 200, text);
     }
+    if (is_config && store->fault.is_down_after_answer) {
+        store->fault.is_down_after_answer = false;
+        sto_go_down(store);
+    }
     wch_notify(store->watches, kind);
 }
 
@@ -267,7 +288,7 @@
         return;
     }
     if (store->fault.is_down) {
-        wch_abandon(store->watches);
+        sto_go_down(store);
     }
     rpl_text(request, 200, "{}");
 }
--- a/standin/store_fault.c
+++ b/standin/store_fault.c
@@ -17,6 +17,8 @@
     {"delay_ms", offsetof(struct flt, delay_ms), false, 600000},
     {"lose_replies", offsetof(struct flt, lose_count), false, 1000000},
     {"fail_permille", offsetof(struct flt, fail_permille), false, 1000},
+    {"down_after_answer", offsetof(struct flt, is_down_after_answer), true, 0},
+    {"down_after_watch", offsetof(struct flt, is_down_after_watch), true, 0},
 };
 
 static int
