bench: time until a change is in force with faults, cost of control

Cause: docs/MEASUREMENTS.md had no figures on real processes for changes with messages lost or with the store at 2 s, and no cost of control at 7 machines.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -194,6 +194,122 @@
                                   END { print s + 0 }'
 }
 
+TICKS_PER_S=$(getconf CLK_TCK)
+
+# cpu_us NAME...: user and system time of processes of dep_spawn, summed.
+cpu_us() {
+    local name sum=0 fields
+    for name in "$@"; do
+        read -r -a fields <"/proc/${DEP_PIDS[$name]}/stat"
+        sum=$((sum + fields[13] + fields[14]))
+    done
+    echo $((sum * 1000000 / TICKS_PER_S))
+}
+
+# rss_kb NAME...: resident memory of the largest of the processes.
+rss_kb() {
+    local name
+    for name in "$@"; do
+        awk '/^VmRSS/ { print $2 }' "/proc/${DEP_PIDS[$name]}/status"
+    done | sort -n | tail -1
+}
+
+now_us() { echo $(($(date +%s%N) / 1000)); }
+
+# names PREFIX COUNT: PREFIX0 ... PREFIX(COUNT-1)
+names() {
+    local i
+    for ((i = 0; i < $2; i++)); do
+        echo "$1$i"
+    done
+}
+
+# metric_sum FUNCTION COUNT NAME: a counter summed over machines.
+metric_sum() {
+    local i sum=0
+    for ((i = 0; i < $2; i++)); do
+        sum=$((sum + $(metric "$($1 "$i")" "$3")))
+    done
+    echo "$sum"
+}
+
+# tcp_bytes NAME [PORTS]: `sent received connections` over the open TCP
+# connections of a process, payload of TCP; with PORTS only those to these ports.
+tcp_bytes() {
+    ss -tinpH state established |
+        awk -v key="pid=${DEP_PIDS[$1]}," -v ports="${2:-}" '
+            BEGIN { few = split(ports, list); for (i in list) to[list[i]] = 1 }
+            /^[^ \t]/ || /users:/ {
+                ours = index($0, key) > 0
+                if (few > 0) {
+                    port = $4
+                    sub(/.*:/, "", port)
+                    ours = ours && port in to
+                }
+                n += ours
+            }
+            ours && /bytes_|segs_/ {
+                for (i = 1; i <= NF; i++) {
+                    if (split($i, part, ":") != 2) continue
+                    if (part[1] == "bytes_sent") sent += part[2]
+                    if (part[1] == "bytes_received") received += part[2]
+                }
+            }
+            END { printf "%d %d %d\n", sent, received, n }'
+}
+
+store_calls() {
+    http_get "$STORE/metrics" | awk '
+        /store_calls_total/ {
+            match($0, /method="[^"]*"/)
+            method = substr($0, RSTART + 8, RLENGTH - 9)
+            match($0, /kind="[^"]*"/)
+            kind = substr($0, RSTART + 6, RLENGTH - 7)
+            print method "_" kind, $2
+        }'
+}
+
+# revisions_watch: records in RUN_DIR/revisions.log when the agents, entries and
+# relays of machines 0..MACHINES-1 show which revision.
+revisions_watch() {
+    local i processes=()
+    for ((i = 0; i < MACHINES; i++)); do
+        processes+=("$(agent_http "$i")" "$(entry_http "$i")"
+            "$(relay_http "$i")")
+    done
+    dep_spawn revisions "$BIN/bench/bench-revisions" 20 "${processes[@]}"
+}
+
+# in_force_us REVISION FUNCTION...: time in us since 1970 when the last machine
+# showed the revision at the addresses of the functions (agent_http, ...);
+# fails while one has not.
+in_force_us() {
+    local revision=$1 function
+    shift
+    awk -v revision="$revision" -v processes="$(for function in "$@"; do
+        dep_list "$function" "$MACHINES"
+        echo ,
+    done | tr -d '\n')" '
+        BEGIN {
+            left = split(processes, names, ",") - 1
+            for (i = 1; i <= left; i++) wanted[names[i]] = 1
+        }
+        wanted[$2] && $3 >= revision { wanted[$2] = 0; left--; last = $1 }
+        END { if (left > 0) exit 1; print last }' "$RUN_DIR/revisions.log"
+}
+
+# revisions_back: how often a process showed a lower revision than before.
+revisions_back() {
+    awk '$3 < last[$2] { n++ } { last[$2] = $3 } END { print n + 0 }' \
+        "$RUN_DIR/revisions.log"
+}
+
+# written_us: when the store's configuration last changed, in us since 1970.
+written_us() {
+    http_get "$STORE/metrics" |
+        sed -n 's/^carobhatch_store_config_written_us //p'
+}
+
 # config_service NAME BASE-PORT INSTANCES REPLICAS SLOTS CONNECTIONS
 #     CONNECT-COST-US [KEY: VALUE lines...]: one service as YAML, with the
 # ports and zones that standin-searcher gives with --zones a,b,c.
