agent: ask the store before a contract is released for rebalancing

A drain ends the use of a contract before the store is asked, and every 500 ms the next one was drained although the write of the one before had failed. Ruled out: a holder that lost its lease (none did).

Change: before it drains a contract for rebalancing, the holder reads the object and goes on only after an answer; while any contract of the machine is on its way or in doubt, no other one starts. A planned stop is unchanged, since the machine goes anyway.

Conclusion: a store that fails between the read and the write can still leave one instance of each releasing machine without a holder.

--- a/agent/contract.c
+++ b/agent/contract.c
@@ -22,6 +22,7 @@
     CTR_WRITING,  /* waits for the store's reply */
     CTR_DOUBTFUL, /* a write's outcome is unknown: to be read back */
     CTR_READING,
+    CTR_CHECKING, /* held; reads the store before it gives the contract up */
     CTR_DRAINING, /* waits for the relay's RELEASED */
     CTR_RELEASED, /* nothing runs here; the successor is to be written */
 };
@@ -341,16 +342,48 @@
     ctr_settle(contracts, contract, now_us, view);
 }
 
+static void
+ctr_drain(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
+          const char *reason)
+{
+    cnt_add(contracts->counters, "contract_drains_total", reason);
+    ctr_set_step(contract, now_us, CTR_DRAINING);
+    contracts->callbacks.changed(contracts->callbacks.ctx);
+}
+
+/* The store answered, or not, before a drain for rebalancing. */
+static void
+ctr_on_checked(struct ctr *contracts, struct ctr_contract *contract,
+               int64_t now_us, const struct ctr_view *view, int rc,
+               const struct ctr_object *object)
+{
+    ctr_set_step(contract, now_us, CTR_IDLE);
+    if (rc != RC_OK) {
+        cnt_add(contracts->counters, "contract_rebalance_put_off_total",
+                rc_name(rc));
+        return;
+    }
+    ctr_learn(contracts, contract, now_us, object);
+    if (ctr_is_confirmed(contracts, contract, view)) {
+        ctr_drain(contracts, contract, now_us, "rebalance");
+    }
+}
+
 void
 ctr_on_read(struct ctr *contracts, int64_t now_us, const struct ctr_view *view,
             int rc, const struct ctr_object *object)
 {
     struct ctr_contract *contract =
         ctr_find(contracts, object->holder.service, object->holder.instance);
-    if (contract == NULL || contract->step != CTR_READING) {
+    if (contract == NULL ||
+        (contract->step != CTR_READING && contract->step != CTR_CHECKING)) {
         return;
     }
     contracts->outstanding -= 1;
+    if (contract->step == CTR_CHECKING) {
+        ctr_on_checked(contracts, contract, now_us, view, rc, object);
+        return;
+    }
     if (rc != RC_OK) {
         ctr_set_step(contract, now_us, CTR_DOUBTFUL);
         return;
@@ -540,13 +573,20 @@
     return count;
 }
 
-static void
-ctr_drain(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
-          const char *reason)
+/*
+ * One contract at a time moves for rebalancing: what was released cannot be
+ * used again before the store names a holder, and the store may fail
+ * meanwhile.
+ */
+static bool
+ctr_is_any_moving(const struct ctr *contracts)
 {
-    cnt_add(contracts->counters, "contract_drains_total", reason);
-    ctr_set_step(contract, now_us, CTR_DRAINING);
-    contracts->callbacks.changed(contracts->callbacks.ctx);
+    for (size_t i = 0; i < contracts->contracts->len; i++) {
+        if (ctr_at(contracts, i)->step != CTR_IDLE) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* A confirmed contract: starts a drain when it should be elsewhere. */
@@ -566,12 +606,15 @@
         }
         return;
     }
-    if (drains == 0 && contract->is_wanted &&
+    if (!ctr_is_any_moving(contracts) && contract->is_wanted &&
         now_us - view->stable_since_us >= CTR_STABLE_US &&
         now_us - contracts->rebalance_us >= CTR_REBALANCE_US &&
         ctr_is_preferred(contract->key, other->name, contracts->machine)) {
         contracts->rebalance_us = now_us;
-        ctr_drain(contracts, contract, now_us, "rebalance");
+        contracts->outstanding += 1;
+        ctr_set_step(contract, now_us, CTR_CHECKING);
+        contracts->callbacks.read(contracts->callbacks.ctx,
+                                  contract->id.service, contract->id.instance);
     }
 }
 
@@ -651,7 +694,8 @@
 ctr_tick_contract(struct ctr *contracts, struct ctr_contract *contract,
                   int64_t now_us, const struct ctr_view *view)
 {
-    if (contract->step == CTR_WRITING || contract->step == CTR_READING) {
+    if (contract->step == CTR_WRITING || contract->step == CTR_READING ||
+        contract->step == CTR_CHECKING) {
         return;
     }
     if (contract->step == CTR_DOUBTFUL) {
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -402,6 +402,16 @@
     world->view.stable_since_us = world->now_us;
 }
 
+/* > heard: beats of all machines just arrived */
+static void
+run_heard(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    for (size_t i = 0; i < world->view.machine_count; i++) {
+        world->machines[i].accepted_us = world->now_us;
+    }
+}
+
 /* Warm searchers, NAME START each, from argv[i] on. */
 static size_t
 read_warm(int argc, char **argv, int i, struct msg_warm *warm)
@@ -754,6 +764,7 @@
     {"machines", run_machines},
     {"object", run_object},
     {"contracts", run_contracts},
+    {"heard", run_heard},
     {"wrote", run_wrote},
     {"was-read", run_was_read},
     {"released", run_released},
