Answer HELLO with a confirmation while the offer is unchanged

Each entry sends HELLO to each relay every 500 ms, and each HELLO made the relay build, encode and send the whole list, which the entry decoded and compared.

HELLO now names the offer that the entry has (relay start, offer seq). A relay whose newest offer it is answers CONFIRM_OFFER with the same two numbers. Offers are encoded once per change and sent as bytes; HELLO rebuilds the list only when the lease or a searcher may have run out since it was built. REPLY and EXEC_REPLY name the newest offer, so a lost OFFER or another relay process shows with the next message and is asked for at once. The entry leaves HELLO out when it both sent to the relay and heard from it within 500 ms; any message keeps it in touch with the relay for 2 s. HELLO no longer carries the entry's machine and start, which no relay read.

The decision when a link to a relay is closed moves from entry/relays to entry/plan, so that a script can test it: a stopping relay is kept until it is silent for 2 s. The plan finds a relay by binary search.

--- a/common/msg.c
+++ b/common/msg.c
@@ -56,7 +56,9 @@
         .field_count = sizeof(type##_fields) / sizeof(type##_fields[0]),      \
     };
 
-DESC(msg_hello, STR(msg_hello, machine), U64(msg_hello, start))
+DESC(msg_hello, U64(msg_hello, relay_start), U64(msg_hello, offer_seq))
+DESC(msg_confirm_offer, U64(msg_confirm_offer, relay_start),
+     U64(msg_confirm_offer, offer_seq))
 DESC(msg_version, U64(msg_version, version), U64(msg_version, shard),
      U64(msg_version, shards))
 DESC(msg_offer_instance, STR(msg_offer_instance, service),
@@ -75,13 +77,15 @@
 DESC(msg_reply, U64(msg_reply, qid), U64(msg_reply, version),
      LIST(msg_reply, done, done_count, msg_shard_desc),
      LIST(msg_reply, missing, missing_count, msg_missing_desc),
-     LIST(msg_reply, hits, hit_count, msg_hit_desc))
+     LIST(msg_reply, hits, hit_count, msg_hit_desc),
+     U64(msg_reply, relay_start), U64(msg_reply, offer_seq))
 DESC(msg_cancel, U64(msg_cancel, qid))
 DESC(msg_exec, U64(msg_exec, qid), STR(msg_exec, id), STR(msg_exec, service),
      STR(msg_exec, instance), U64(msg_exec, shard), U64(msg_exec, version),
      I64(msg_exec, budget_us), BIN(msg_exec, body))
 DESC(msg_exec_reply, U64(msg_exec_reply, qid), I64(msg_exec_reply, rc),
-     BIN(msg_exec_reply, body))
+     BIN(msg_exec_reply, body), U64(msg_exec_reply, relay_start),
+     U64(msg_exec_reply, offer_seq))
 DESC(msg_order, U64(msg_order, qid), STR(msg_order, id),
      STR(msg_order, service), STR(msg_order, key), I64(msg_order, budget_us),
      BIN(msg_order, body))
@@ -149,6 +153,7 @@
     [MSG_CONFIG] = &msg_config_desc,
     [MSG_MEMBERS] = &msg_members_desc,
     [MSG_LEASE] = &msg_lease_desc,
+    [MSG_CONFIRM_OFFER] = &msg_confirm_offer_desc,
 };
 
 static void msg_pack_fields(msgpack_packer *packer,
--- a/entry/plan.c
+++ b/entry/plan.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/invariant.h"
@@ -17,6 +18,10 @@
     uint64_t start; /* 0 before the first offer */
     uint64_t seq;
     int64_t heard_us;
+    int64_t sent_us;
+    int64_t hello_us; /* last HELLO */
+    int64_t ask_us;   /* next HELLO for an offer known to be newer */
+    bool is_greeted;  /* HELLO was sent */
     bool is_live;
     GPtrArray *offered; /* of struct pln_offered */
 };
@@ -103,16 +108,25 @@
     plan->is_stale = true;
 }
 
+static gint
+pln_compare_number(gconstpointer key, gconstpointer item)
+{
+    uint32_t number = *(const uint32_t *)key;
+    const struct pln_relay *relay = *(struct pln_relay *const *)item;
+    return (number > relay->number) - (number < relay->number);
+}
+
+/* The numbers grow along the array. Called for each message. */
 static struct pln_relay *
 pln_relay_find(const struct pln *plan, uint32_t number)
 {
-    for (guint i = 0; i < plan->relays->len; i++) {
-        struct pln_relay *relay = g_ptr_array_index(plan->relays, i);
-        if (relay->number == number) {
-            return relay;
-        }
+    if (plan->relays->len == 0) {
+        return NULL;
     }
-    return NULL;
+    struct pln_relay **found =
+        bsearch(&number, plan->relays->pdata, plan->relays->len,
+                sizeof(gpointer), pln_compare_number);
+    return found != NULL ? *found : NULL;
 }
 
 uint32_t
@@ -122,6 +136,7 @@
     relay->number = ++plan->last_number;
     relay->machine = g_strdup(machine);
     relay->heard_us = now_us;
+    relay->ask_us = INT64_MAX;
     relay->offered = g_ptr_array_new_with_free_func(pln_offered_free);
     g_ptr_array_add(plan->relays, relay);
     return relay->number;
@@ -146,6 +161,82 @@
     }
 }
 
+void
+pln_sent(struct pln *plan, uint32_t number, int64_t now_us)
+{
+    struct pln_relay *relay = pln_relay_find(plan, number);
+    if (relay != NULL) {
+        relay->sent_us = now_us;
+    }
+}
+
+void
+pln_note_offer(struct pln *plan, uint32_t number, uint64_t start, uint64_t seq)
+{
+    struct pln_relay *relay = pln_relay_find(plan, number);
+    if (relay == NULL) {
+        return;
+    }
+    bool is_known = relay->is_live && relay->start == start;
+    if (is_known && seq == relay->seq) {
+        relay->ask_us = INT64_MAX;
+    }
+    else if (!is_known || seq > relay->seq) {
+        cnt_add(plan->counters, "offer_missed_total", NULL);
+        /* At once, but not before the answer to the last question may have
+         * come. */
+        if (relay->ask_us == INT64_MAX) {
+            relay->ask_us = 0;
+        }
+    }
+}
+
+bool
+pln_hello_is_due(const struct pln *plan, uint32_t number, int64_t now_us,
+                 uint64_t *start, uint64_t *seq)
+{
+    const struct pln_relay *relay = pln_relay_find(plan, number);
+    if (relay == NULL) {
+        return false;
+    }
+    *start = relay->is_live ? relay->start : 0;
+    *seq = relay->is_live ? relay->seq : 0;
+    if (!relay->is_greeted || now_us >= relay->ask_us) {
+        return true;
+    }
+    /* Both ways: what the relay sends may answer what it got long ago. */
+    bool is_in_touch = relay->is_live &&
+                       now_us - relay->heard_us < PLN_HELLO_IVL_US &&
+                       now_us - relay->sent_us < PLN_HELLO_IVL_US;
+    return !is_in_touch && now_us - relay->hello_us >= PLN_HELLO_IVL_US;
+}
+
+void
+pln_hello_sent(struct pln *plan, uint32_t number, int64_t now_us)
+{
+    struct pln_relay *relay = pln_relay_find(plan, number);
+    if (relay == NULL) {
+        return;
+    }
+    relay->is_greeted = true;
+    relay->hello_us = now_us;
+    relay->sent_us = now_us;
+    if (relay->ask_us != INT64_MAX) {
+        relay->ask_us = now_us + PLN_ASK_IVL_US;
+    }
+}
+
+bool
+pln_is_gone(const struct pln *plan, uint32_t number, const char *address,
+            const char *listed, int64_t now_us)
+{
+    if (listed != NULL) {
+        return strcmp(listed, address) != 0;
+    }
+    const struct pln_relay *relay = pln_relay_find(plan, number);
+    return relay == NULL || now_us - relay->heard_us >= PLN_SILENCE_US;
+}
+
 static bool
 pln_offered_equal(const struct pln_offered *old,
                   const struct msg_offer_instance *now)
@@ -224,6 +315,7 @@
      * back. */
     if (relay->start == offer->start && offer->seq == relay->seq &&
         relay->is_live) {
+        relay->ask_us = INT64_MAX;
         return false;
     }
     if (relay->start == offer->start && offer->seq < relay->seq) {
@@ -234,6 +326,7 @@
     relay->start = offer->start;
     relay->seq = offer->seq;
     relay->heard_us = now_us;
+    relay->ask_us = INT64_MAX;
     relay->is_live = true;
     if (is_changed) {
         pln_replace(plan, relay, offer);
--- a/entry/relays.c
+++ b/entry/relays.c
@@ -4,16 +4,12 @@
 #include "common/rc.h"
 #include "entry/relays.h"
 
-#define RLY_HELLO_IVL_US (500 * 1000)
-
 struct rly_link {
     struct rly *relays;
     uint32_t number; /* in the plan */
     char *machine;
     char *address;
     struct zsk_socket *socket;
-    int64_t heard_us;
-    int64_t hello_us; /* when the next HELLO is due */
 };
 
 struct rly {
@@ -33,6 +29,9 @@
     if (rc == RC_OK) {
         rc = zsk_send(link->socket, NULL, buffer.data, buffer.size);
     }
+    if (rc == RC_OK) {
+        pln_sent(link->relays->app->plan, link->number, app_now_us());
+    }
     msgpack_sbuffer_destroy(&buffer);
     return rc;
 }
@@ -93,6 +92,47 @@
     }
 }
 
+/* A link that is still connecting is tried again at the next tick. */
+static void
+rly_send_hello(struct rly_link *link, int64_t now_us)
+{
+    const struct app *app = link->relays->app;
+    struct msg_hello hello = {.offer_seq = 0};
+    if (pln_hello_is_due(app->plan, link->number, now_us, &hello.relay_start,
+                         &hello.offer_seq) &&
+        rly_send(link, MSG_HELLO, &hello) == RC_OK) {
+        cnt_add(app->counters, "hello_total", NULL);
+        pln_hello_sent(app->plan, link->number, now_us);
+    }
+}
+
+static void
+rly_on_reply(struct rly_link *link, const struct msg_reply *reply,
+             int64_t now_us)
+{
+    struct app *app = link->relays->app;
+    pln_note_offer(app->plan, link->number, reply->relay_start,
+                   reply->offer_seq);
+    gth_reply(app->gather, link->number, reply, now_us);
+}
+
+static void
+rly_on_exec_reply(struct rly_link *link, const struct msg_exec_reply *reply,
+                  int64_t now_us)
+{
+    struct app *app = link->relays->app;
+    pln_note_offer(app->plan, link->number, reply->relay_start,
+                   reply->offer_seq);
+    ord_reply(app->orders, link->number, reply, now_us);
+}
+
+static void
+rly_on_confirm(struct rly_link *link, const struct msg_confirm_offer *confirm)
+{
+    pln_note_offer(link->relays->app->plan, link->number, confirm->relay_start,
+                   confirm->offer_seq);
+}
+
 static void
 rly_on_message(struct zsk_socket *socket, const struct zsk_peer *peer,
                const void *data, size_t data_bytes, void *ctx)
@@ -105,23 +145,26 @@
         cnt_add(app->counters, "message_dropped_total", "undecodable");
         return;
     }
-    link->heard_us = now_us;
     pln_heard(app->plan, link->number, now_us);
     switch (msg.type) {
     case MSG_OFFER:
         rly_on_offer(link, msg.body, now_us);
         break;
     case MSG_REPLY:
-        gth_reply(app->gather, link->number, msg.body, now_us);
+        rly_on_reply(link, msg.body, now_us);
         break;
     case MSG_EXEC_REPLY:
-        ord_reply(app->orders, link->number, msg.body, now_us);
+        rly_on_exec_reply(link, msg.body, now_us);
+        break;
+    case MSG_CONFIRM_OFFER:
+        rly_on_confirm(link, msg.body);
         break;
     default:
         cnt_add(app->counters, "message_dropped_total", "unexpected_type");
         break;
     }
     msg_clear(&msg);
+    rly_send_hello(link, now_us);
     app_wake(app);
 }
 
@@ -162,7 +205,6 @@
     link->relays = relays;
     link->machine = g_strdup(machine->name);
     link->address = g_strdup(machine->relay_address);
-    link->heard_us = now_us;
     if (zsk_connect(app->zmq, link->address, rly_on_message, link,
                     &link->socket) != RC_OK) {
         cnt_add(app->counters, "connect_failed_total", "relay");
@@ -186,22 +228,16 @@
     g_ptr_array_remove(relays->links, link);
 }
 
-/*
- * A relay with a new address is another one. One that is missing from STATE
- * is kept while it is heard: a restarted agent may know few machines at first,
- * and a relay that stops finishes what it runs after it has left STATE.
- */
 static bool
 rly_is_gone(const struct rly *relays, const struct rly_link *link,
             int64_t now_us)
 {
     const struct msg_machine *machine =
         app_machine(relays->app, link->machine);
-    if (machine != NULL && app_machine_is_up(machine) &&
-        machine->relay_address[0] != '\0') {
-        return strcmp(machine->relay_address, link->address) != 0;
-    }
-    return now_us - link->heard_us >= PLN_SILENCE_US;
+    bool is_listed = machine != NULL && app_machine_is_up(machine) &&
+                     machine->relay_address[0] != '\0';
+    return pln_is_gone(relays->app->plan, link->number, link->address,
+                       is_listed ? machine->relay_address : NULL, now_us);
 }
 
 static bool
@@ -238,18 +274,8 @@
 static void
 rly_send_hellos(struct rly *relays, int64_t now_us)
 {
-    const struct app *app = relays->app;
-    const struct msg_hello hello = {
-        .machine = app->options->machine,
-        .start = app->start,
-    };
     for (guint i = 0; i < relays->links->len; i++) {
-        struct rly_link *link = g_ptr_array_index(relays->links, i);
-        /* A link that is still connecting is tried again at the next tick. */
-        if (now_us >= link->hello_us &&
-            rly_send(link, MSG_HELLO, &hello) == RC_OK) {
-            link->hello_us = now_us + RLY_HELLO_IVL_US;
-        }
+        rly_send_hello(g_ptr_array_index(relays->links, i), now_us);
     }
 }
 
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -34,6 +34,7 @@
     MSG_CONFIG,
     MSG_MEMBERS,
     MSG_LEASE,
+    MSG_CONFIRM_OFFER,
     MSG_TYPE_COUNT,
 };
 
@@ -42,9 +43,16 @@
     uint64_t bytes;
 };
 
+/* The offer that the entry has; 0 and 0 for none. */
 struct msg_hello {
-    const char *machine;
-    uint64_t start;
+    uint64_t relay_start;
+    uint64_t offer_seq;
+};
+
+/* Answers a HELLO whose offer is the relay's newest one. */
+struct msg_confirm_offer {
+    uint64_t relay_start;
+    uint64_t offer_seq;
 };
 
 struct msg_version {
@@ -108,6 +116,8 @@
     size_t missing_count;
     struct msg_hit *hits; /* highest score first */
     size_t hit_count;
+    uint64_t relay_start; /* these two name the relay's newest offer */
+    uint64_t offer_seq;
 };
 
 struct msg_cancel {
@@ -129,6 +139,8 @@
     uint64_t qid;
     int64_t rc;
     struct msg_bin body;
+    uint64_t relay_start; /* as in struct msg_reply */
+    uint64_t offer_seq;
 };
 
 struct msg_order {
--- a/include/entry/plan.h
+++ b/include/entry/plan.h
@@ -16,6 +16,10 @@
 
 /* Offers of a relay that sent nothing for this long are dropped. */
 #define PLN_SILENCE_US (2 * 1000 * 1000)
+/* HELLO to a relay that sent or got nothing for this long. */
+#define PLN_HELLO_IVL_US (500 * 1000)
+/* HELLO is repeated this often while a newer offer is known to exist. */
+#define PLN_ASK_IVL_US (50 * 1000)
 /* Bounds the memory that one faulty offer can take. */
 #define PLN_MAX_SHARDS 65536
 
@@ -48,6 +52,35 @@
 /* Notes that the relay sent something. */
 void pln_heard(struct pln *plan, uint32_t relay, int64_t now_us);
 
+/* Notes that something was sent, which keeps the entry in touch. */
+void pln_sent(struct pln *plan, uint32_t relay, int64_t now_us);
+
+/*
+ * Notes the relay's newest offer as a message other than OFFER names it. If
+ * this entry does not have it, HELLO is due at once.
+ */
+void pln_note_offer(struct pln *plan, uint32_t relay, uint64_t start,
+                    uint64_t seq);
+
+/*
+ * Whether HELLO is due. Sets what it says of the offer that this entry has: 0
+ * and 0 for none.
+ */
+bool pln_hello_is_due(const struct pln *plan, uint32_t relay, int64_t now_us,
+                      uint64_t *start, uint64_t *seq);
+
+void pln_hello_sent(struct pln *plan, uint32_t relay, int64_t now_us);
+
+/*
+ * Whether the link to the relay at `address` is to be closed. `listed` is the
+ * address of the machine's relay in STATE, NULL for none. A relay with another
+ * address is another one. One that is not listed is kept while it is heard: a
+ * restarted agent may know few machines at first, and a relay that stops
+ * finishes what it runs after it has left STATE.
+ */
+bool pln_is_gone(const struct pln *plan, uint32_t relay, const char *address,
+                 const char *listed, int64_t now_us);
+
 /*
  * Replaces what the relay offers. Returns true when the relay process is
  * another one than before: all requests sent to the earlier one are lost.
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -29,6 +29,9 @@
                    void *ctx);
     void (*send_entry)(const struct zsk_peer *peer, enum msg_type type,
                        const void *body, void *ctx);
+    /* Sends an encoded OFFER: the same bytes go to every entry. */
+    void (*send_offer)(const struct zsk_peer *peer, const void *data,
+                       size_t data_bytes, void *ctx);
     void (*send_agent)(enum msg_type type, const void *body, void *ctx);
 };
 
@@ -49,8 +52,9 @@
     GHashTable *orders;    /* struct qry_key -> struct exe */
     GHashTable *peers;     /* GBytes -> struct rly_peer */
     struct ddp dedup;
-    GByteArray *offered; /* encoded instances of the last OFFER */
+    GByteArray *offered; /* the newest OFFER, encoded */
     uint64_t offer_seq;
+    int64_t offer_until_us; /* from then on time alone may change the offer */
     int64_t subscribed_us;
     bool is_stopping;
     int64_t stopping_us;
@@ -105,15 +109,23 @@
 struct ins *rly_find(const struct rly *rly, const char *service,
                      const char *instance);
 
-/* Sends OFFER to the entries in touch if what is offered changed. */
-void rly_offer_if_changed(struct rly *rly, int64_t now_us);
+/*
+ * Sends OFFER to the entries in touch if what is offered changed. Returns true
+ * if it did.
+ */
+bool rly_offer_if_changed(struct rly *rly, int64_t now_us);
 
 /* Counts a refusal of a part or order by its reason. */
 void rly_count_refusal(const struct rly *rly, int rc);
 
-/* From offer.c: answers an entry's HELLO; forgets entries out of touch. */
+/*
+ * From offer.c: notes that an entry is in touch; answers its HELLO; forgets
+ * entries out of touch.
+ */
+void rly_note_peer(struct rly *rly, const struct zsk_peer *peer,
+                   int64_t now_us);
 void rly_on_hello(struct rly *rly, const struct zsk_peer *peer,
-                  int64_t now_us);
+                  const struct msg_hello *hello, int64_t now_us);
 void rly_forget_peers(struct rly *rly, int64_t now_us);
 
 #endif
--- a/relay/order.c
+++ b/relay/order.c
@@ -14,6 +14,8 @@
         .rc = rc,
         .body = {.data = answer != NULL ? answer->result : "",
                  .bytes = answer != NULL ? answer->result_bytes : 0},
+        .relay_start = rly->start,
+        .offer_seq = rly->offer_seq,
     };
     cnt_add(rly->counters, "orders_total", rc_name(rc));
     rly->calls->send_entry(&key->peer, MSG_EXEC_REPLY, &reply, rly->ctx);
--- a/relay/query.c
+++ b/relay/query.c
@@ -59,6 +59,8 @@
         .missing_count = query->missing->len,
         .hits = (struct msg_hit *)query->merge.hits->data,
         .hit_count = query->merge.hits->len,
+        .relay_start = query->rly->start,
+        .offer_seq = query->rly->offer_seq,
     };
     CH_INVARIANT(reply.done_count + reply.missing_count == query->job_count);
     const struct rly *rly = query->rly;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -139,7 +139,7 @@
 rly_entry_hello(struct rly *rly, const struct zsk_peer *peer, const void *body,
                 int64_t now_us)
 {
-    rly_on_hello(rly, peer, now_us);
+    rly_on_hello(rly, peer, body, now_us);
 }
 
 static void
@@ -192,6 +192,7 @@
         cnt_add(rly->counters, "messages_dropped_total", "unexpected_type");
         return;
     }
+    rly_note_peer(rly, peer, now_us);
     handler(rly, peer, msg->body, now_us);
 }
 
@@ -252,7 +253,7 @@
         ins_tick(ins, now_us);
     }
     g_ptr_array_free(all, TRUE);
-    rly_offer_if_changed(rly, now_us);
+    (void)rly_offer_if_changed(rly, now_us);
 }
 
 static bool
@@ -408,7 +409,7 @@
     }
     lnk_on_answer(link, is_reusable, now_us);
     if (is_changed) {
-        rly_offer_if_changed(ins->rly, now_us);
+        (void)rly_offer_if_changed(ins->rly, now_us);
     }
     dsp_pump(ins, now_us);
 }
@@ -421,7 +422,7 @@
     dsp_on_answer(link, answer, now_us);
     ins_release_if_done(ins, now_us);
     if (answer->rc == RC_VERSION_GONE) {
-        rly_offer_if_changed(ins->rly, now_us);
+        (void)rly_offer_if_changed(ins->rly, now_us);
     }
 }
 
@@ -480,6 +481,8 @@
         ins_drain(g_ptr_array_index(all, i), now_us);
     }
     g_ptr_array_free(all, TRUE);
+    /* The next HELLO or tick must not rely on the offer before. */
+    rly->offer_until_us = now_us;
 }
 
 void
@@ -504,7 +507,7 @@
     if (is_links_due) {
         rly->links_ticked_us = now_us;
         rly_forget_peers(rly, now_us);
-        rly_offer_if_changed(rly, now_us);
+        (void)rly_offer_if_changed(rly, now_us);
     }
 }
 
--- a/relay/server.c
+++ b/relay/server.c
@@ -104,6 +104,17 @@
     srv_send(server, server->entries, peer, type, body);
 }
 
+static void
+srv_send_offer(const struct zsk_peer *peer, const void *data,
+               size_t data_bytes, void *ctx)
+{
+    struct srv *server = ctx;
+    int rc = zsk_send(server->entries, peer, data, data_bytes);
+    if (rc != RC_OK) {
+        cnt_add(server->counters, "sends_failed_total", rc_name(rc));
+    }
+}
+
 static void
 srv_send_agent(enum msg_type type, const void *body, void *ctx)
 {
@@ -116,6 +127,7 @@
     .search = bkd_search,
     .execute = bkd_execute,
     .send_entry = srv_send_entry,
+    .send_offer = srv_send_offer,
     .send_agent = srv_send_agent,
 };
 
--- a/tests/entry/soak_entry.c
+++ b/tests/entry/soak_entry.c
@@ -2,7 +2,7 @@
  * Randomised run of the entry's decision modules against fake relays that
  * know the truth. Usage: soak_entry SEED STEPS. Guards against answers that
  * mix versions or queries, a coverage that was not achieved, an order that
- * runs twice and a false "not run".
+ * runs twice, a false "not run" and an offer that stays outdated.
  */
 #include <glib.h>
 #include <inttypes.h>
@@ -21,6 +21,17 @@
 #define MS 1000LL
 #define SERVICE "desk"
 #define RECENT_IDS 64
+#define FLIGHT_US (12 * MS) /* of a message, at most */
+#define LATE_US (400 * MS)  /* added to a late one, at most */
+#define TWIN_US (60 * MS)   /* until a doubled one comes again, at most */
+#define STEP_US (2 * MS)
+/*
+ * A change of an offer is known by then unless a message about offers was
+ * lost, late or doubled since: late replies from before the change may delay
+ * the HELLO, which then goes to the relay and back.
+ */
+#define CURRENT_US                                                            \
+    (PLN_HELLO_IVL_US + LATE_US + TWIN_US + 3 * FLIGHT_US + 4 * STEP_US)
 
 enum fault {
     FAULT_LATE,
@@ -37,14 +48,19 @@
     FAULT_HANDOVER,
     FAULT_UNSENT,
     FAULT_CALLER_GONE,
+    FAULT_LOST_OFFER,
+    FAULT_LOST_CONFIRM,
+    FAULT_SAME_SEQ,
+    FAULT_ENTRY_RESTART,
     FAULT_COUNT,
 };
 
 static const char *const fault_names[FAULT_COUNT] = {
-    "late",        "crossed",     "duplicated",    "lost",
-    "truncated",   "wrong_shard", "wrong_version", "version_change",
-    "repartition", "repeated_id", "relay_lost",    "handover",
-    "unsent",      "caller_gone",
+    "late",        "crossed",       "duplicated",    "lost",
+    "truncated",   "wrong_shard",   "wrong_version", "version_change",
+    "repartition", "repeated_id",   "relay_lost",    "handover",
+    "unsent",      "caller_gone",   "lost_offer",    "lost_confirm",
+    "same_seq",    "entry_restart",
 };
 
 /* A message on its way, or an order that a searcher runs later. */
@@ -64,7 +80,9 @@
     uint64_t start;
     uint64_t seq;
     bool is_up;
-    int64_t up_us; /* when it comes back */
+    int64_t up_us;      /* when it comes back */
+    int64_t touched_us; /* last message of the entry */
+    int64_t since_us;   /* last change or fault that concerns its offer */
 };
 
 struct instance {
@@ -116,6 +134,7 @@
     uint64_t complete;
     uint64_t waiting; /* orders whose outcome was not told yet */
     uint64_t faults[FAULT_COUNT];
+    uint64_t currents; /* checks that an offer was known */
 };
 
 #define CHECK(soak, expr)                                                     \
@@ -195,14 +214,37 @@
     return &g_array_index(soak->truths, struct truth, seq);
 }
 
+static uint64_t
+fault_count(const struct soak *soak)
+{
+    uint64_t count = 0;
+    for (int i = 0; i < FAULT_COUNT; i++) {
+        count += soak->faults[i];
+    }
+    return count;
+}
+
+static uint32_t
+relay_of(const struct soak *soak, uint32_t number)
+{
+    for (uint32_t i = 0; i < RELAYS; i++) {
+        if (soak->relays[i].number == number) {
+            return i;
+        }
+    }
+    soak_fail(soak, "known relay", __LINE__);
+    return 0;
+}
+
 /* Sends a relay's message to the entry through the faults. */
 static void
 to_entry(struct soak *soak, uint32_t relay, enum msg_type type,
          const void *body)
 {
     GByteArray *bytes = encode(type, body);
+    uint64_t before = fault_count(soak);
     struct event event = {
-        .due_us = soak->now_us + between(soak, 1, 12 * MS),
+        .due_us = soak->now_us + between(soak, 1, FLIGHT_US),
         .is_to_entry = true,
         .relay = relay,
         .relay_start = soak->relays[relay].start,
@@ -210,7 +252,7 @@
     };
     if (chance(soak, 20)) {
         soak->faults[FAULT_LATE] += 1;
-        event.due_us += between(soak, 50 * MS, 400 * MS);
+        event.due_us += between(soak, 50 * MS, LATE_US);
     }
     if (chance(soak, 20)) {
         soak->faults[FAULT_CROSSED] += 1;
@@ -219,7 +261,7 @@
     if (chance(soak, 20)) {
         soak->faults[FAULT_DUPLICATED] += 1;
         struct event twin = event;
-        twin.due_us += between(soak, 0, 60 * MS);
+        twin.due_us += between(soak, 0, TWIN_US);
         event_add(soak, twin);
     }
     if (chance(soak, 20)) {
@@ -233,10 +275,16 @@
     }
     else if (chance(soak, 15)) {
         soak->faults[FAULT_LOST] += 1;
+        soak->faults[FAULT_LOST_OFFER] += type == MSG_OFFER;
+        soak->faults[FAULT_LOST_CONFIRM] += type == MSG_CONFIRM_OFFER;
     }
     else {
         event_add(soak, event);
     }
+    if ((type == MSG_OFFER || type == MSG_CONFIRM_OFFER) &&
+        fault_count(soak) != before) {
+        soak->relays[relay].since_us = soak->now_us;
+    }
     g_byte_array_unref(bytes);
 }
 
@@ -265,13 +313,41 @@
     const struct msg_offer offer = {
         .machine = machine,
         .start = relay->start,
-        .seq = ++relay->seq,
+        .seq = relay->seq,
         .instances = offered,
         .instance_count = count,
     };
     to_entry(soak, index, MSG_OFFER, &offer);
 }
 
+/* What the relay offers has changed: the entry is told if it is in touch. */
+static void
+relay_changed(struct soak *soak, uint32_t index)
+{
+    struct relay *relay = &soak->relays[index];
+    relay->seq += 1;
+    relay->since_us = soak->now_us;
+    if (soak->now_us - relay->touched_us <= PLN_SILENCE_US) {
+        relay_offer(soak, index);
+    }
+}
+
+static void
+relay_hello(struct soak *soak, uint32_t index, const struct msg_hello *hello)
+{
+    const struct relay *relay = &soak->relays[index];
+    const struct msg_confirm_offer confirm = {
+        .relay_start = relay->start,
+        .offer_seq = relay->seq,
+    };
+    if (hello->relay_start == relay->start && hello->offer_seq == relay->seq) {
+        to_entry(soak, index, MSG_CONFIRM_OFFER, &confirm);
+    }
+    else {
+        relay_offer(soak, index);
+    }
+}
+
 /* The result code of a part at this relay. */
 static int
 relay_part_rc(struct soak *soak, uint32_t relay, const char *name,
@@ -310,6 +386,8 @@
         .done = done,
         .missing = missing,
         .hits = hits,
+        .relay_start = soak->relays[relay].start,
+        .offer_seq = soak->relays[relay].seq,
     };
     bool is_wrong = chance(soak, 10);
     for (size_t i = 0; i < query->part_count; i++) {
@@ -354,6 +432,8 @@
         .qid = qid,
         .rc = chance(soak, 40) ? RC_LINK_LOST : RC_OK,
         .body = {.data = "ran", .bytes = 3},
+        .relay_start = soak->relays[relay].start,
+        .offer_seq = soak->relays[relay].seq,
     };
     to_entry(soak, relay, MSG_EXEC_REPLY, &reply);
 }
@@ -364,7 +444,11 @@
 {
     static const int not_run[] = {RC_SHED, RC_VERSION_GONE, RC_LINK_FAILED,
                                   RC_NOT_HOLDER, RC_LINK_LOST};
-    struct msg_exec_reply reply = {.qid = exec->qid};
+    struct msg_exec_reply reply = {
+        .qid = exec->qid,
+        .relay_start = soak->relays[relay].start,
+        .offer_seq = soak->relays[relay].seq,
+    };
     reply.rc =
         relay_part_rc(soak, relay, exec->instance, exec->version, exec->shard);
     if (reply.rc == RC_OK && chance(soak, 300)) {
@@ -395,7 +479,7 @@
 to_relay(struct soak *soak, uint32_t number, enum msg_type type,
          const void *body, uint64_t order)
 {
-    uint32_t relay = number - 1;
+    uint32_t relay = relay_of(soak, number);
     soak->decisions += 1;
     if (chance(soak, soak->relays[relay].is_up ? 10 : 500)) {
         soak->faults[FAULT_UNSENT] += 1;
@@ -406,13 +490,14 @@
         truth_of(soak, order)->in_flight += 1;
     }
     event_add(soak, (struct event){
-                        .due_us = soak->now_us + between(soak, 1, 12 * MS),
+                        .due_us = soak->now_us + between(soak, 1, FLIGHT_US),
                         .relay = relay,
                         .relay_start = soak->relays[relay].start,
                         .bytes = bytes,
                         .order = order,
                     });
     g_byte_array_unref(bytes);
+    pln_sent(soak->plan, number, soak->now_us);
     return RC_OK;
 }
 
@@ -521,17 +606,28 @@
 entry_receive(struct soak *soak, const struct event *event)
 {
     struct msg msg;
-    uint32_t relay = event->relay + 1;
+    uint32_t relay = soak->relays[event->relay].number;
     soak->decisions += 1;
     if (msg_decode(event->bytes->data, event->bytes->len, &msg) != RC_OK) {
         return;
     }
     pln_heard(soak->plan, relay, soak->now_us);
     if (msg.type == MSG_REPLY) {
-        gth_reply(soak->gather, relay, msg.body, soak->now_us);
+        const struct msg_reply *reply = msg.body;
+        pln_note_offer(soak->plan, relay, reply->relay_start,
+                       reply->offer_seq);
+        gth_reply(soak->gather, relay, reply, soak->now_us);
     }
     else if (msg.type == MSG_EXEC_REPLY) {
-        ord_reply(soak->orders, relay, msg.body, soak->now_us);
+        const struct msg_exec_reply *reply = msg.body;
+        pln_note_offer(soak->plan, relay, reply->relay_start,
+                       reply->offer_seq);
+        ord_reply(soak->orders, relay, reply, soak->now_us);
+    }
+    else if (msg.type == MSG_CONFIRM_OFFER) {
+        const struct msg_confirm_offer *confirm = msg.body;
+        pln_note_offer(soak->plan, relay, confirm->relay_start,
+                       confirm->offer_seq);
     }
     else if (pln_offer(soak->plan, relay, msg.body, soak->now_us)) {
         gth_relay_lost(soak->gather, relay, soak->now_us);
@@ -546,7 +642,7 @@
     if (event->order != 0) {
         truth_of(soak, event->order)->in_flight -= 1;
     }
-    const struct relay *relay = &soak->relays[event->relay];
+    struct relay *relay = &soak->relays[event->relay];
     if (!relay->is_up || relay->start != event->relay_start) {
         return;
     }
@@ -557,7 +653,11 @@
     struct msg msg;
     CHECK(soak,
           msg_decode(event->bytes->data, event->bytes->len, &msg) == RC_OK);
-    if (msg.type == MSG_QUERY) {
+    relay->touched_us = soak->now_us;
+    if (msg.type == MSG_HELLO) {
+        relay_hello(soak, event->relay, msg.body);
+    }
+    else if (msg.type == MSG_QUERY) {
         relay_query(soak, event->relay, msg.body);
     }
     else if (msg.type == MSG_EXEC) {
@@ -708,7 +808,7 @@
         instance->version_count = keeps_old ? 2 : 1;
     }
     if (instance->moves_us == 0 && soak->relays[instance->holder].is_up) {
-        relay_offer(soak, instance->holder);
+        relay_changed(soak, instance->holder);
     }
 }
 
@@ -756,17 +856,17 @@
     instance->epoch += 1;
     instance->moves_us = 0;
     if (soak->relays[from].is_up) {
-        relay_offer(soak, from);
+        relay_changed(soak, from);
     }
     if (soak->relays[instance->holder].is_up) {
-        relay_offer(soak, instance->holder);
+        relay_changed(soak, instance->holder);
     }
     else {
         instance->moves_us = soak->now_us + 2500 * MS;
     }
 }
 
-/* Relays come back, contracts of lost ones move, offers are repeated. */
+/* Relays come back, contracts of lost ones move. */
 static void
 run_relays(struct soak *soak)
 {
@@ -775,11 +875,16 @@
         if (!relay->is_up && soak->now_us >= relay->up_us) {
             relay->is_up = true;
             relay->start += RELAYS;
-            relay->seq = 0;
-            relay_offer(soak, i);
-        }
-        else if (relay->is_up && chance(soak, 4)) {
-            relay_offer(soak, i);
+            if (chance(soak, 500)) {
+                soak->faults[FAULT_SAME_SEQ] += 1;
+                relay->seq -= 1;
+            }
+            else {
+                relay->seq = 0;
+            }
+            /* It knows no entry yet. */
+            relay->touched_us = soak->now_us - 2 * PLN_SILENCE_US;
+            relay_changed(soak, i);
         }
     }
     for (uint32_t i = 0; i < INSTANCES; i++) {
@@ -790,15 +895,56 @@
     }
 }
 
+/* To the relay it is another entry process that connects. */
+static void
+reopen_link(struct soak *soak, uint32_t index)
+{
+    struct relay *relay = &soak->relays[index];
+    char machine[8];
+    (void)g_snprintf(machine, sizeof(machine), "m%u", index);
+    uint32_t number = relay->number;
+    soak->faults[FAULT_ENTRY_RESTART] += 1;
+    relay->since_us = soak->now_us;
+    relay->touched_us = soak->now_us - 2 * PLN_SILENCE_US;
+    relay->number = pln_relay_open(soak->plan, machine, soak->now_us);
+    pln_relay_close(soak->plan, number);
+    gth_relay_lost(soak->gather, number, soak->now_us);
+    ord_relay_lost(soak->orders, number, soak->now_us);
+}
+
+/* Sends HELLO where it is due and checks that the offers are known. */
+static void
+run_hellos(struct soak *soak)
+{
+    for (uint32_t i = 0; i < RELAYS; i++) {
+        const struct relay *relay = &soak->relays[i];
+        struct msg_hello hello = {.offer_seq = 0};
+        if (pln_hello_is_due(soak->plan, relay->number, soak->now_us,
+                             &hello.relay_start, &hello.offer_seq) &&
+            to_relay(soak, relay->number, MSG_HELLO, &hello, 0) == RC_OK) {
+            pln_hello_sent(soak->plan, relay->number, soak->now_us);
+        }
+        if (relay->is_up && soak->now_us - relay->since_us > CURRENT_US) {
+            soak->currents += 1;
+            CHECK(soak, hello.relay_start == relay->start);
+            CHECK(soak, hello.offer_seq == relay->seq);
+        }
+    }
+}
+
 static void
 step(struct soak *soak)
 {
-    soak->now_us += between(soak, 0, 2 * MS);
+    soak->now_us += between(soak, 0, STEP_US);
     if (chance(soak, 1) && chance(soak, 200)) {
         soak->now_us += 30000 * MS;
+        for (uint32_t i = 0; i < RELAYS; i++) {
+            soak->relays[i].since_us = soak->now_us;
+        }
     }
     deliver(soak);
     run_relays(soak);
+    run_hellos(soak);
     if (chance(soak, 150)) {
         start_search(soak);
     }
@@ -812,6 +958,9 @@
     if (chance(soak, 1)) {
         change_version(soak);
     }
+    if (chance(soak, 1) && chance(soak, 500)) {
+        reopen_link(soak, (uint32_t)between(soak, 0, RELAYS - 1));
+    }
     if (chance(soak, 1)) {
         lose_relay(soak, (uint32_t)between(soak, 0, RELAYS - 1));
     }
@@ -859,6 +1008,7 @@
         soak->relays[i].number =
             pln_relay_open(soak->plan, machine, soak->now_us);
         soak->relays[i].start = i + 1;
+        soak->relays[i].since_us = soak->now_us;
         soak->relays[i].is_up = true;
     }
     for (uint32_t i = 0; i < INSTANCES; i++) {
@@ -892,9 +1042,9 @@
 soak_report(struct soak *soak)
 {
     (void)printf("decisions=%" PRIu64 " answers=%" PRIu64 " complete=%" PRIu64
-                 " orders=%u\nfaults:",
+                 " orders=%u currents=%" PRIu64 "\nfaults:",
                  soak->decisions, soak->answers, soak->complete,
-                 soak->truths->len - 1);
+                 soak->truths->len - 1, soak->currents);
     for (int i = 0; i < FAULT_COUNT; i++) {
         (void)printf(" %s=%" PRIu64, fault_names[i], soak->faults[i]);
     }
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -241,6 +241,61 @@
     }
 }
 
+/* sent RELAY: something other than HELLO was sent to the relay. */
+static void
+run_sent(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    pln_sent(test->plan, (uint32_t)scr_number(argc, argv, 1), test->now_us);
+}
+
+/* heard RELAY START SEQ: a message that names the relay's newest offer. */
+static void
+run_heard(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    uint32_t relay = (uint32_t)scr_number(argc, argv, 1);
+    pln_heard(test->plan, relay, test->now_us);
+    pln_note_offer(test->plan, relay, (uint64_t)scr_number(argc, argv, 2),
+                   (uint64_t)scr_number(argc, argv, 3));
+}
+
+/* hello RELAY: sends HELLO if it is due. */
+static void
+run_hello(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    uint32_t relay = (uint32_t)scr_number(argc, argv, 1);
+    uint64_t start = 0;
+    uint64_t seq = 0;
+    if (!pln_hello_is_due(test->plan, relay, test->now_us, &start, &seq)) {
+        g_string_append(out, "not due");
+        return;
+    }
+    pln_hello_sent(test->plan, relay, test->now_us);
+    g_string_append_printf(out, "hello start=%" PRIu64 " seq=%" PRIu64, start,
+                           seq);
+}
+
+/* listed RELAY ADDRESS|-: whether the link to the relay at "a" is closed, with
+ * this address in STATE. */
+static void
+run_listed(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    uint32_t relay = (uint32_t)scr_number(argc, argv, 1);
+    const char *listed = strcmp(argv[2], "-") != 0 ? argv[2] : NULL;
+    if (!pln_is_gone(test->plan, relay, "a", listed, test->now_us)) {
+        g_string_append(out, "kept");
+        return;
+    }
+    g_string_append(out, "closed\n");
+    test->out = out;
+    pln_relay_close(test->plan, relay);
+    gth_relay_lost(test->gather, relay, test->now_us);
+    ord_relay_lost(test->orders, relay, test->now_us);
+}
+
 static void
 run_pick(void *ctx, int argc, char **argv, GString *out)
 {
@@ -643,6 +698,10 @@
 static const struct scr_command commands[] = {
     {"relay", run_relay},
     {"offer", run_offer},
+    {"sent", run_sent},
+    {"heard", run_heard},
+    {"hello", run_hello},
+    {"listed", run_listed},
     {"pick", run_pick},
     {"wait", run_wait},
     {"link", run_link},
@@ -678,6 +737,7 @@
         run_script(state, SCRIPT_DIR "/" #name ".txt");                       \
     }
 SCRIPT_TEST(plan)
+SCRIPT_TEST(offer)
 SCRIPT_TEST(gather)
 SCRIPT_TEST(order)
 SCRIPT_TEST(caller)
@@ -687,6 +747,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_plan, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_offer, setup, teardown),
         cmocka_unit_test_setup_teardown(test_gather, setup, teardown),
         cmocka_unit_test_setup_teardown(test_order, setup, teardown),
         cmocka_unit_test_setup_teardown(test_caller, setup, teardown),
--- a/tests/relay/soak_relay.c
+++ b/tests/relay/soak_relay.c
@@ -29,6 +29,11 @@
 #define SILENT_MAX_US (2 * SEC)
 #define LATE_US 3000 /* a tick and the step before it */
 
+#define ENTRIES 2
+#define RELAY_START 1
+/* An entry that sent something since then gets changes of the offer. */
+#define ENTRY_TOUCH_US (2 * SEC)
+
 enum fault {
     FAULT_crash,
     FAULT_restart,
@@ -63,6 +68,10 @@
     FAULT_remove,
     FAULT_old_state,
     FAULT_old_config,
+    FAULT_lost_offer,
+    FAULT_lost_confirm,
+    FAULT_entry_restart,
+    FAULT_other_start,
     FAULT_COUNT
 };
 
@@ -73,7 +82,8 @@
     "lease_lost move_away come_back takeover pause hello "
     "straggler shed gone other_version other_shard garbage "
     "cut refuse_connect refuse_send cancel duplicate_exec duplicate_query "
-    "remove old_state old_config";
+    "remove old_state old_config lost_offer lost_confirm entry_restart "
+    "other_start";
 
 enum event_kind { EV_CONNECT, EV_ARRIVE, EV_ANSWER, EV_CLOSE_SEEN };
 
@@ -156,6 +166,14 @@
     int64_t end_us;
 };
 
+/* An entry and what it has of the relay's offer. */
+struct sim_entry {
+    uint64_t seq; /* 0 for none */
+    uint64_t hello_start, hello_seq;
+    int64_t sent_us;
+    int answers; /* to the HELLO sent last */
+};
+
 struct sim {
     GRand *rand;
     uint32_t seed;
@@ -185,6 +203,10 @@
     GHashTable *execs;   /* qid -> sim_exec */
     GHashTable *orders;  /* id -> sim_order */
     uint64_t next_qid;
+    struct sim_entry entries[ENTRIES];
+    GByteArray *offer; /* as sent last */
+    uint64_t offer_seq;
+    size_t offer_instances;
     char last_id[32];
     int last_instance;
     uint64_t decisions;
@@ -578,6 +600,8 @@
     CHECK(query != NULL); /* neither unknown nor a second reply */
     CHECK(memcmp(peer, &query->peer, sizeof(*peer)) == 0);
     CHECK(reply->version == query->version);
+    CHECK(reply->relay_start == RELAY_START);
+    CHECK(reply->offer_seq == sim->rly->offer_seq);
     check_shards(query, reply);
     check_hits(query, reply);
     sim->done += reply->done_count;
@@ -592,6 +616,8 @@
     struct sim_exec *exec =
         g_hash_table_lookup(sim->execs, GSIZE_TO_POINTER(reply->qid));
     CHECK(exec != NULL);
+    CHECK(reply->relay_start == RELAY_START);
+    CHECK(reply->offer_seq == sim->rly->offer_seq);
     struct sim_order *order = g_hash_table_lookup(sim->orders, exec->id);
     order->open_execs -= 1;
     if (rc_run((int)reply->rc) == RC_RUN_NO) {
@@ -608,6 +634,57 @@
     g_hash_table_remove(sim->execs, GSIZE_TO_POINTER(reply->qid));
 }
 
+static struct sim_entry *
+entry_of(struct sim *sim, const struct zsk_peer *peer)
+{
+    CHECK(peer->id[0] >= 1 && peer->id[0] <= ENTRIES);
+    return &sim->entries[peer->id[0] - 1];
+}
+
+/* Only the entry that has the newest offer may get a confirmation, and none
+ * may get one for instances that the lease does not cover any more. */
+static void
+on_confirm(struct sim *sim, const struct zsk_peer *peer,
+           const struct msg_confirm_offer *confirm)
+{
+    struct sim_entry *entry = entry_of(sim, peer);
+    CHECK(entry->hello_start == RELAY_START);
+    CHECK(confirm->relay_start == RELAY_START);
+    CHECK(confirm->offer_seq == entry->hello_seq);
+    CHECK(confirm->offer_seq == sim->offer_seq);
+    CHECK(sim->offer_instances == 0 || sim->now_us < sim->lease_us);
+    entry->answers += 1;
+}
+
+/* One seq is one offer, and it goes to entries in touch only. */
+static void
+sim_send_offer(const struct zsk_peer *peer, const void *data,
+               size_t data_bytes, void *ctx)
+{
+    struct sim *sim = ctx;
+    struct sim_entry *entry = entry_of(sim, peer);
+    struct msg msg;
+    CHECK(msg_decode(data, data_bytes, &msg) == RC_OK);
+    CHECK(msg.type == MSG_OFFER);
+    const struct msg_offer *offer = msg.body;
+    bool is_same = sim->offer->len == data_bytes &&
+                   memcmp(sim->offer->data, data, data_bytes) == 0;
+    CHECK(offer->start == RELAY_START && offer->seq >= sim->offer_seq);
+    CHECK(is_same == (offer->seq == sim->offer_seq));
+    CHECK(offer->instance_count == 0 || sim->now_us < sim->lease_us);
+    CHECK(sim->now_us - entry->sent_us <= ENTRY_TOUCH_US);
+    g_byte_array_set_size(sim->offer, 0);
+    g_byte_array_append(sim->offer, data, (guint)data_bytes);
+    sim->offer_seq = offer->seq;
+    sim->offer_instances = offer->instance_count;
+    entry->answers += 1;
+    sim->decisions += 1;
+    if (!inject(sim, FAULT_lost_offer, 100)) {
+        entry->seq = offer->seq;
+    }
+    msg_clear(&msg);
+}
+
 static void
 sim_send_entry(const struct zsk_peer *peer, enum msg_type type,
                const void *body, void *ctx)
@@ -621,7 +698,8 @@
         on_exec_reply(sim, body);
     }
     else {
-        CHECK(type == MSG_OFFER);
+        CHECK(type == MSG_CONFIRM_OFFER);
+        on_confirm(sim, peer, body);
     }
 }
 
@@ -696,6 +774,7 @@
     .search = sim_search,
     .execute = sim_execute,
     .send_entry = sim_send_entry,
+    .send_offer = sim_send_offer,
     .send_agent = sim_send_agent,
 };
 
@@ -1118,13 +1197,40 @@
 {
     struct zsk_peer from = peer_of(peer);
     struct msg msg = {.type = type, .body = body};
+    sim->entries[peer].sent_us = sim->now_us;
     rly_on_entry(sim->rly, &from, &msg, sim->now_us);
 }
 
+/* Each HELLO has one answer at least, and one that was lost comes again. */
+static void
+send_hello(struct sim *sim)
+{
+    int peer = pick(sim, ENTRIES);
+    struct sim_entry *entry = &sim->entries[peer];
+    if (inject(sim, FAULT_entry_restart, 50)) {
+        entry->seq = 0;
+    }
+    entry->hello_start = entry->seq != 0 ? RELAY_START : 0;
+    if (inject(sim, FAULT_other_start, 50)) {
+        entry->hello_start = RELAY_START + 1;
+    }
+    entry->hello_seq = entry->seq;
+    const struct msg_hello hello = {
+        .relay_start = entry->hello_start,
+        .offer_seq = entry->hello_seq,
+    };
+    int times = inject(sim, FAULT_lost_confirm, 100) ? 2 : 1;
+    for (int i = 0; i < times; i++) {
+        entry->answers = 0;
+        to_relay(sim, peer, MSG_HELLO, &hello);
+        CHECK(entry->answers == 1);
+    }
+}
+
 static void
 send_query(struct sim *sim, int service, uint64_t version, int64_t budget_us)
 {
-    int peer = pick(sim, 2);
+    int peer = pick(sim, ENTRIES);
     struct sim_query *query = g_new0(struct sim_query, 1);
     struct msg_part parts[INSTANCES];
     query->qid = ++sim->next_qid;
@@ -1192,7 +1298,7 @@
         .body = {.data = "{}", .bytes = 2},
     };
     g_hash_table_insert(sim->execs, GSIZE_TO_POINTER(message.qid), exec);
-    to_relay(sim, pick(sim, 2), MSG_EXEC, &message);
+    to_relay(sim, pick(sim, ENTRIES), MSG_EXEC, &message);
 }
 
 static void
@@ -1390,8 +1496,7 @@
         give_contract(sim, instance, chance(sim, 5000));
     }
     if (inject(sim, FAULT_hello, 20)) {
-        struct msg_hello hello = {.machine = "e", .start = 1};
-        to_relay(sim, pick(sim, 2), MSG_HELLO, &hello);
+        send_hello(sim);
     }
 }
 
@@ -1603,7 +1708,8 @@
         at->versions[0] = sim->version;
         at->version_count = 1;
     }
-    sim->rly = rly_new("m0", 1, &sim_calls, sim, sim->counters);
+    sim->offer = g_byte_array_new();
+    sim->rly = rly_new("m0", RELAY_START, &sim_calls, sim, sim->counters);
     renew_lease(sim);
     send_config(sim);
     for (int i = 0; i < INSTANCES; i++) {
@@ -1659,6 +1765,7 @@
     g_sequence_free(sim->events);
     g_ptr_array_free(sim->links, TRUE);
     g_ptr_array_free(sim->requests, TRUE);
+    g_byte_array_free(sim->offer, TRUE);
     g_rand_free(sim->rand);
 }
 
--- a/tests/relay/test_core.c
+++ b/tests/relay/test_core.c
@@ -148,8 +148,11 @@
     if (type == MSG_REPLY) {
         print_reply(test->out, body);
     }
-    else if (type == MSG_OFFER) {
-        print_offer(test->out, body);
+    else if (type == MSG_CONFIRM_OFFER) {
+        const struct msg_confirm_offer *confirm = body;
+        g_string_append_printf(test->out,
+                               "confirm start=%" PRIu64 " seq=%" PRIu64 "\n",
+                               confirm->relay_start, confirm->offer_seq);
     }
     else {
         const struct msg_exec_reply *reply = body;
@@ -160,6 +163,21 @@
     }
 }
 
+static void
+on_send_offer(const struct zsk_peer *peer, const void *data, size_t data_bytes,
+              void *ctx)
+{
+    struct core_test *test = ctx;
+    struct msg msg;
+    assert_int_equal(msg_decode(data, data_bytes, &msg), RC_OK);
+    assert_int_equal(msg.type, MSG_OFFER);
+    if (memcmp(peer->id, "entry", 5) != 0) {
+        g_string_append_printf(test->out, "%.5s ", (const char *)peer->id);
+    }
+    print_offer(test->out, msg.body);
+    msg_clear(&msg);
+}
+
 static void
 print_warm(GString *out, const struct msg_released *released)
 {
@@ -191,6 +209,7 @@
     .search = on_search,
     .execute = on_execute,
     .send_entry = on_send_entry,
+    .send_offer = on_send_offer,
     .send_agent = on_send_agent,
 };
 
@@ -372,13 +391,31 @@
     send_state(test, &holder, true);
 }
 
+/* hello [START SEQ [PEER]]: of an entry that has this offer; of another entry
+ * if a PEER of 5 letters is named. */
 static void
 run_hello(void *ctx, int argc, char **argv, GString *out)
 {
     struct core_test *test = ctx;
     test->out = out;
-    struct msg_hello hello = {.machine = "e", .start = 1};
-    from_entry(test, MSG_HELLO, &hello);
+    struct msg_hello hello = {
+        .relay_start = argc > 2 ? (uint64_t)scr_number(argc, argv, 1) : 0,
+        .offer_seq = argc > 2 ? (uint64_t)scr_number(argc, argv, 2) : 0,
+    };
+    struct zsk_peer peer = entry_peer();
+    if (argc > 3) {
+        memcpy(peer.id, argv[3], peer.id_bytes);
+    }
+    struct msg msg = {.type = MSG_HELLO, .body = &hello};
+    rly_on_entry(test->rly, &peer, &msg, test->now_us);
+}
+
+/* skip MS: time passes without a tick. */
+static void
+run_skip(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->now_us += scr_number(argc, argv, 1) * MS;
 }
 
 /* query QID BUDGET_MS [VERSION] */
@@ -560,6 +597,7 @@
     {"searcher", run_searcher}, {"version", run_version},
     {"stop", run_stop},         {"stopped", run_stopped},
     {"count", run_count},       {"start", run_start},
+    {"skip", run_skip},
 };
 
 static void
