--- a/agent/agent.c
+++ b/agent/agent.c
@@ -150,7 +150,7 @@
             .revision = rev_number(agent->revision),
             .lease_until_us = agent->published_until_us,
         };
-        sub_send_lease(agent->subscribers, &lease);
+        sub_send_lease(agent->subscribers, now_us, &lease);
     }
 }
 
@@ -232,14 +232,6 @@
     agent->is_changed = true;
 }
 
-static bool
-agent_has_newer_epoch(void *ctx, const char *holder, uint64_t start,
-                      int64_t since_us)
-{
-    const struct agent *agent = ctx;
-    return ctr_has_newer_epoch(agent->contracts, holder, start, since_us);
-}
-
 static uint32_t
 agent_random(void *ctx, uint32_t limit)
 {
@@ -305,13 +297,20 @@
     }
 }
 
+static int
+agent_send_client(void *ctx, const struct zsk_peer *client, enum msg_type type,
+                  const void *body)
+{
+    const struct agent *agent = ctx;
+    return prs_send_client(agent->peers, client, type, body);
+}
+
 static void
 agent_open_modules(struct agent *agent, int64_t now_us)
 {
     const struct agent_options *options = agent->options;
     const struct lse_callbacks lease = {
         .send = agent_send_to_machine,
-        .has_newer_epoch = agent_has_newer_epoch,
         .ctx = agent,
     };
     const struct ctr_callbacks contracts = {
@@ -366,7 +365,8 @@
             RC_OK) {
         return RC_IO;
     }
-    agent->subscribers = sub_new(agent->peers, agent->counters);
+    prs_set_drop(agent->peers, (uint32_t)options->drop_permille);
+    agent->subscribers = sub_new(agent_send_client, agent, agent->counters);
     agent->cell = agent_cell_new(agent);
     agent->poll = agent_poll_new(agent);
     uv_timer_init(loop, &agent->timer);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -5,8 +5,9 @@
 #include "common/log.h"
 #include "common/rc.h"
 
-#define RLY_SUBSCRIBE_FIRST_US 500000
-#define RLY_SUBSCRIBE_US 2000000
+/* The agent drops a relay that it cannot reach for 1 s (SUB_UNREACHED_US);
+ * after a reconnect it needs a SUBSCRIBE to reach it again. */
+#define RLY_SUBSCRIBE_US 500000
 /* Ids live 10 minutes at their entry. */
 #define RLY_ID_KEEP_US (11LL * 60 * 1000000)
 #define RLY_IDS_MAX 500000
@@ -390,9 +391,13 @@
     if (link->state == LNK_BUSY) {
         dsp_on_lost(link, rc, now_us);
         ins_release_if_done(ins, now_us);
+        return;
     }
-    else {
-        lnk_on_lost(link, rc_name(rc), now_us);
+    bool is_slot_free = link->state == LNK_CLOSING;
+    lnk_on_lost(link, rc_name(rc), now_us);
+    if (is_slot_free) {
+        dsp_pump(ins, now_us);
+        ins_release_if_done(ins, now_us);
     }
 }
 
@@ -452,9 +457,8 @@
 static void
 rly_subscribe(struct rly *rly, int64_t now_us)
 {
-    int64_t interval_us =
-        rly->has_state ? RLY_SUBSCRIBE_US : RLY_SUBSCRIBE_FIRST_US;
-    if (rly->subscribed_us != 0 && now_us - rly->subscribed_us < interval_us) {
+    if (rly->subscribed_us != 0 &&
+        now_us - rly->subscribed_us < RLY_SUBSCRIBE_US) {
         return;
     }
     const struct msg_subscribe subscribe = {
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -12,12 +12,14 @@
 #include "agent/lease.h"
 #include "agent/member.h"
 #include "agent/revision.h"
+#include "agent/subscriber.h"
 #include "common/rc.h"
 #include "script.h"
 
 #define START 1
 #define MACHINES 3
 #define WARM_MAX 4
+#define SUBSCRIBERS 4
 
 /* The modules of machine m0, start 1, and what they asked to be done. */
 struct world {
@@ -29,11 +31,12 @@
     struct rev *revision;
     struct mbr *members;
     struct gsp *gossip;
+    struct sub *subscribers;
+    bool is_unreached[SUBSCRIBERS]; /* by the first byte of the client */
     struct ctr_machine machines[MACHINES];
     struct ctr_view view;
     int64_t accepted_us; /* of every holder but m0 */
     int64_t voted_us;
-    bool has_newer_epoch;
 };
 
 static void
@@ -52,13 +55,6 @@
     }
 }
 
-static bool
-on_newer_epoch(void *ctx, const char *holder, uint64_t start, int64_t since_us)
-{
-    const struct world *world = ctx;
-    return world->has_newer_epoch;
-}
-
 static void
 print_warm(GString *out, const struct msg_holder *holder)
 {
@@ -141,6 +137,18 @@
     return RC_OK;
 }
 
+static int
+on_send_client(void *ctx, const struct zsk_peer *client, enum msg_type type,
+               const void *body)
+{
+    struct world *world = ctx;
+    int rc = world->is_unreached[client->id[0]] ? RC_AGAIN : RC_OK;
+    g_string_append_printf(world->out, "%s to %d: %s\n",
+                           type == MSG_STATE ? "state" : "lease",
+                           client->id[0], rc_name(rc));
+    return rc;
+}
+
 static void
 world_clear(struct world *world)
 {
@@ -149,6 +157,7 @@
     rev_free(world->revision);
     mbr_free(world->members);
     gsp_free(world->gossip);
+    sub_free(world->subscribers);
     cnt_set_free(world->counters);
 }
 
@@ -168,8 +177,7 @@
                  .can_hold = true,
                  .is_store_usable = true},
     };
-    const struct lse_callbacks lease = {
-        .send = on_send, .has_newer_epoch = on_newer_epoch, .ctx = world};
+    const struct lse_callbacks lease = {.send = on_send, .ctx = world};
     const struct ctr_callbacks contracts = {
         .write = on_write,
         .read = on_read,
@@ -197,6 +205,7 @@
     world->revision = rev_new(world->now_us, parse_number, world->counters);
     world->members = mbr_new(&self, world->now_us);
     world->gossip = gsp_new(on_random, world);
+    world->subscribers = sub_new(on_send_client, world, world->counters);
 }
 
 static void
@@ -225,6 +234,38 @@
     g_string_append(out, rc_name(rc));
 }
 
+/* > told MACHINE VERSION MEMBER...: the machine's version of the cell */
+static void
+run_told(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    struct msg_member members[LSE_CELL_MAX + 1];
+    size_t count = 0;
+    for (int i = 3; i < argc; i++) {
+        members[count++] = (struct msg_member){.machine = argv[i]};
+    }
+    const struct msg_cell message = {
+        .machine = argv[1],
+        .version = (uint64_t)scr_number(argc, argv, 2),
+        .members = members,
+        .member_count = count,
+    };
+    int rc = lse_on_cell(world->lease, world->now_us, &message);
+    g_string_append_printf(out, "%s version=%" PRIu64, rc_name(rc),
+                           lse_cell_version(world->lease));
+}
+
+/* > pulls VERSION: whether a message that names it is followed by a pull */
+static void
+run_pulls(void *ctx, int argc, char **argv, GString *out)
+{
+    const struct world *world = ctx;
+    g_string_append_printf(
+        out, "%d",
+        lse_should_pull_cell(world->lease,
+                             (uint64_t)scr_number(argc, argv, 1)));
+}
+
 static void
 run_tick(void *ctx, int argc, char **argv, GString *out)
 {
@@ -250,13 +291,14 @@
                                         : (ack.accepted ? "ok" : "refused"));
 }
 
-/* > ack MACHINE SEQ CELL-VERSION */
+/* > ack MACHINE SEQ CELL-VERSION [START] */
 static void
 run_ack(void *ctx, int argc, char **argv, GString *out)
 {
     struct world *world = ctx;
     const struct msg_beat_ack ack = {
         .machine = argv[1],
+        .start = argc > 4 ? (uint64_t)scr_number(argc, argv, 4) : 0,
         .seq = (uint64_t)scr_number(argc, argv, 2),
         .cell_version = (uint64_t)scr_number(argc, argv, 3),
         .accepted = 1,
@@ -311,13 +353,6 @@
         lse_voted_out_us(world->lease, argv[2], vote.holder_start) >= 0);
 }
 
-static void
-run_newer_epoch(void *ctx, int argc, char **argv, GString *out)
-{
-    struct world *world = ctx;
-    world->has_newer_epoch = scr_number(argc, argv, 1) != 0;
-}
-
 static void
 run_may_change(void *ctx, int argc, char **argv, GString *out)
 {
@@ -632,17 +667,88 @@
                            messages, picked);
 }
 
+/* > subscribe ROLE START CLIENT */
+static void
+run_subscribe(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    const struct msg_subscribe message = {
+        .role = argv[1],
+        .start = (uint64_t)scr_number(argc, argv, 2),
+    };
+    const struct zsk_peer peer = {
+        .id = {(uint8_t)scr_number(argc, argv, 3)},
+        .id_bytes = 1,
+    };
+    const struct prs_from from = {.peer = &peer};
+    g_string_append_printf(
+        out, "replaced=%d",
+        sub_on_subscribe(world->subscribers, world->now_us, &from, &message));
+}
+
+/* > reach CLIENT 0|1: whether sends to it succeed */
+static void
+run_reach(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->is_unreached[scr_number(argc, argv, 1)] =
+        scr_number(argc, argv, 2) == 0;
+}
+
+/* > send-state */
+static void
+run_send_state(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->out = out;
+    struct msg_state state = {.revision = 1};
+    sub_send_state(world->subscribers, world->now_us, &state);
+}
+
+static void
+run_send_lease(void *ctx, int argc, char **argv, GString *out)
+{
+    struct world *world = ctx;
+    world->out = out;
+    const struct msg_lease lease = {.revision = 1};
+    sub_send_lease(world->subscribers, world->now_us, &lease);
+}
+
+/* > subscribers: after a tick */
+static void
+run_subscribers(void *ctx, int argc, char **argv, GString *out)
+{
+    static const char *const relays[] = {
+        [SUB_RELAY_NONE] = "none",
+        [SUB_RELAY_STOPPING] = "stopping",
+        [SUB_RELAY_UP] = "up",
+    };
+    struct world *world = ctx;
+    const struct sub *subscribers = world->subscribers;
+    sub_tick(world->subscribers, world->now_us);
+    g_string_append_printf(out, "relay=%s entry_ready=%d due=%d",
+                           relays[sub_relay_state(subscribers)],
+                           sub_is_entry_ready(subscribers, world->now_us),
+                           sub_is_due(subscribers, world->now_us));
+    if (sub_relay_lost_us(subscribers) > 0) {
+        g_string_append_printf(
+            out, " lost_ms=%" PRId64,
+            (world->now_us - sub_relay_lost_us(subscribers)) / 1000);
+    }
+}
+
 static const struct scr_command commands[] = {
     {"new", run_new},
     {"wait", run_wait},
     {"cell", run_cell},
+    {"told", run_told},
+    {"pulls", run_pulls},
     {"tick", run_tick},
     {"beat", run_beat},
     {"ack", run_ack},
     {"asked", run_asked},
     {"ask", run_ask},
     {"vote", run_vote},
-    {"newer-epoch", run_newer_epoch},
     {"may-change", run_may_change},
     {"config", run_config},
     {"machines", run_machines},
@@ -660,6 +766,11 @@
     {"member", run_member},
     {"members", run_members},
     {"gossip", run_gossip},
+    {"subscribe", run_subscribe},
+    {"reach", run_reach},
+    {"send-state", run_send_state},
+    {"send-lease", run_send_lease},
+    {"subscribers", run_subscribers},
 };
 
 static void
@@ -689,6 +800,12 @@
     run_script(SCRIPT_DIR "/members.txt");
 }
 
+static void
+test_subscriber(void **state)
+{
+    run_script(SCRIPT_DIR "/subscriber.txt");
+}
+
 int
 main(void)
 {
@@ -696,6 +813,7 @@
         cmocka_unit_test(test_lease),
         cmocka_unit_test(test_contract),
         cmocka_unit_test(test_members),
+        cmocka_unit_test(test_subscriber),
     };
     return cmocka_run_group_tests_name("agent", tests, NULL, NULL);
 }
--- a/tests/entry/soak_entry.c
+++ b/tests/entry/soak_entry.c
@@ -602,6 +602,12 @@
     return ++soak->last_qid;
 }
 
+static size_t
+on_idle(void *ctx, const char *service)
+{
+    return 0;
+}
+
 static void
 entry_receive(struct soak *soak, const struct event *event)
 {
@@ -769,12 +775,15 @@
                            : "";
     const struct ord_request request = {
         .seq = seq,
-        .id = text,
-        .service = SERVICE,
-        .key = text,
-        .body = "b",
-        .body_bytes = 1,
-        .deadline_us = soak->now_us + between(soak, 0, 150) * MS,
+        .order =
+            {
+                .id = text,
+                .service = SERVICE,
+                .key = text,
+                .body = "b",
+                .body_bytes = 1,
+                .deadline_us = soak->now_us + between(soak, 0, 150) * MS,
+            },
     };
     soak->waiting += 1;
     struct ord_waiter *waiter = ord_submit(
@@ -983,6 +992,7 @@
     const struct gth_callbacks gather = {.send = on_query,
                                          .cancel = on_cancel,
                                          .finish = on_answer,
+                                         .idle_instances = on_idle,
                                          .next_qid = on_qid,
                                          .ctx = soak};
     soak->gather = gth_new(soak->plan, soak->counters, &gather);
