--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -36,6 +36,7 @@
     MSG_LEASE,
     MSG_CELL_PULL,
     MSG_CELL,
+    MSG_CONFIRM_OFFER,
     MSG_TYPE_COUNT,
 };
 
@@ -44,9 +45,16 @@
     uint64_t bytes;
 };
 
+/* The offer that the entry has; 0 and 0 for none. */
 struct msg_hello {
-    const char *machine;
-    uint64_t start;
+    uint64_t relay_start;
+    uint64_t offer_seq;
+};
+
+/* Answers a HELLO whose offer is the relay's newest one. */
+struct msg_confirm_offer {
+    uint64_t relay_start;
+    uint64_t offer_seq;
 };
 
 struct msg_version {
@@ -110,6 +118,8 @@
     size_t missing_count;
     struct msg_hit *hits; /* highest score first */
     size_t hit_count;
+    uint64_t relay_start; /* these two name the relay's newest offer */
+    uint64_t offer_seq;
 };
 
 struct msg_cancel {
@@ -131,6 +141,8 @@
     uint64_t qid;
     int64_t rc;
     struct msg_bin body;
+    uint64_t relay_start; /* as in struct msg_reply */
+    uint64_t offer_seq;
 };
 
 struct msg_order {
