agent: give handovers epochs that no other write has

Cause: the holder may hand a contract over to a machine that tries to take it over at the same time; both wrote the next epoch. When the reply to the machine's own write, which was refused, was lost, it read the handover back, took it for that write and used a contract that was not confirmed in its term. Another machine that had asked the cell before took over meanwhile. The fault is older; since a vote binds for one LEASE only, the machine gains a lease in which it can do harm.

Change: handovers write multiples of 16, which other writes skip.

--- a/agent/contract.c
+++ b/agent/contract.c
@@ -17,6 +17,8 @@
 /* A drain for rebalancing that takes longer is given up. */
 #define CTR_DRAIN_MAX_US (INT64_C(15) * 1000 * 1000)
 
+#define CTR_HANDOVER_EPOCH 16
+
 enum ctr_step {
     CTR_IDLE,
     CTR_WRITING,  /* waits for the store's reply */
@@ -378,6 +380,20 @@
     const char *reason;     /* for the counter */
 };
 
+/*
+ * Only handovers write multiples of CTR_HANDOVER_EPOCH. Otherwise a machine
+ * could take a handover to it for its own write of the same epoch, which was
+ * refused, and use a contract that was not confirmed in its term.
+ */
+static uint64_t
+ctr_next_epoch(uint64_t epoch, bool is_self)
+{
+    if (!is_self) {
+        return (epoch / CTR_HANDOVER_EPOCH + 1) * CTR_HANDOVER_EPOCH;
+    }
+    return epoch + 1 + ((epoch + 1) % CTR_HANDOVER_EPOCH == 0);
+}
+
 static void
 ctr_write(struct ctr *contracts, struct ctr_contract *contract, int64_t now_us,
           const struct ctr_view *view, const char *machine, uint64_t start,
@@ -394,7 +410,9 @@
      * An earlier write of unknown outcome may still take effect; with an
      * epoch of its own it cannot be taken for this one.
      */
-    contract->want_epoch = MAX(contract->epoch, contract->want_epoch) + 1;
+    contract->want_epoch =
+        ctr_next_epoch(MAX(contract->epoch, contract->want_epoch),
+                       machine == contracts->machine);
     g_free(contract->want_machine);
     contract->want_machine = g_strdup(machine);
     contract->want_start = start;
