capacity: measure fan-out over two machines only when no contract moves

Cause: an agent that does not know the other machine yet claims every instance, and rebalancing moves two per second afterwards. The measurement waited 4 s, so that it ran while contracts moved: agents used 74 and 153 thousandths of a core, and 17 and 29 of 60 answers were complete at 1,000 and 1,500 shards.

Rows hold the number of contracts written meanwhile; one with such writes or an incomplete answer is marked and in no fit.

--- a/bench/derive.awk
+++ b/bench/derive.awk
@@ -149,8 +149,13 @@
         (s["searcher_sent"] + s["searcher_received"]) * a["searchers"])
     budget_row("watches woken by contract changes", 0, 0,
         changes_per_s * contract_bytes)
-    budget_row("watches woken by configuration changes", 0, 0,
-        a["changes"] / 86400 * at("document", a["searchers"]))
+    budget_row("configuration changes: cost of a change x changes",
+        a["changes"] / 86400 * change_us / 1000, 0,
+        a["changes"] / 86400 * at("change_bytes", document_bytes))
+    budget_row(show(a["data_centres"]) " zones: slope, less the three of the intercept",
+        zone_cpu, zone_kb, zone_bytes)
+    # The store's list of contracts is in the row of the searchers.
+    budget_row(show(held) " contracts held: slope", held_cpu, held_kb, 0)
     print "fitted", "sum", show(cpu_sum), show(kb_sum / 1000), show(bytes_sum)
     print "assumed", "budget", show(a["cpu_budget"]), show(a["memory_budget"]),
         show(a["bytes_budget"])
@@ -165,6 +170,12 @@
         show((s["mesh_sent"] + s["mesh_received"]) * a["machines"])
     print "fitted", "besides: HELLO and OFFER at the relay",
         show(s["mesh_relay"] * a["machines"]), "", ""
+    print "fitted", "besides: " show(held) " contracts held, at the relay",
+        show(s["held_relay"] * held), show(s["held_relay_rss"] * held / 1000),
+        show(s["held_http"] * held)
+    print "fitted", "besides: configuration changes at entry and relay",
+        show(a["changes"] / 86400 * (at("change_entry", document_bytes) + \
+            at("change_relay", document_bytes)) / 1000), "", ""
     print "fitted", "besides: STATE of 5,500 contracts to entry and relay, loopback",
         show(s["agent_idle"] * instances), "", show(s["agent_held_bytes"] * instances)
 }
@@ -179,7 +190,7 @@
         show(5 * 2 * (a["cell"] - 1) + (a["cell"] - 1 + a["gossip"]) * 2),
         show(cpu_agent / 1000),
         show((c["machine_rss"] + s["listed_rss"] * a["machines"] + \
-            s["searcher_rss"] * a["searchers"]) / 1000),
+            s["searcher_rss"] * a["searchers"] + held_kb + zone_kb) / 1000),
         "beats in the cell, gossip, store watch and lists")
     role_row("entry", show(a["queries"] / a["machines"] * a["p99"] / 1000) \
         " running queries, " show(instances) " instances, links to " \
@@ -283,9 +294,13 @@
     line[8] = "s between two beats of a machine by gossip, p99 (modelled)"
     goal[8] = 30
     command[8] = "scripts/capacity gossip"
-    for (k = 1; k <= 8; k++) {
+    value[9] = a["changes"] / 86400 * at("change_bytes", document_bytes)
+    line[9] = "bytes/s of configuration changes per machine"
+    goal[9] = a["bytes_budget"]
+    command[9] = "scripts/capacity change"
+    for (k = 1; k <= 9; k++) {
         best = 0
-        for (i = 1; i <= 8; i++)
+        for (i = 1; i <= 9; i++)
             if (!(i in done) && (best == 0 || value[i] / goal[i] > value[best] / goal[best]))
                 best = i
         done[best] = 1
@@ -311,8 +326,18 @@
     # POL_VMS_PER_MACHINE_US: 10 ms per machine, at least 2 s.
     vms_rate = 1 / max(2, a["machines"] * 0.01)
     vms_bytes = at("listed_vms", a["machines"])
+    document_bytes = at("document", a["searchers"])
+    change_us = at("change_agent", document_bytes)
+    # A slope below zero is noise and must not lower the sum.
+    zone_cpu = max(0, s["zone_cpu"]) * (a["data_centres"] - 3)
+    zone_kb = max(0, s["zone_rss"]) * (a["data_centres"] - 3)
+    zone_bytes = max(0, s["zone_sent"] + s["zone_received"]) * \
+        (a["data_centres"] - 3)
+    held_cpu = max(0, s["held_agent"]) * held
+    held_kb = max(0, s["held_agent_rss"]) * held
     cpu_agent = c["machine_cpu"] + s["listed_cpu"] * a["machines"] + \
-        s["searcher_cpu"] * a["searchers"]
+        s["searcher_cpu"] * a["searchers"] + held_cpu + zone_cpu + \
+        a["changes"] / 86400 * change_us / 1000
     if (table == "load") load_table()
     if (table == "tree") tree_table()
     if (table == "batch") batch_table()
--- a/bench/tables.sh
+++ b/bench/tables.sh
@@ -4,11 +4,14 @@
 
 # pairs FILE X Y [WHERE-COLUMN MIN [WHERE-VALUE [MAX-X]]]: lines `x y` of two
 # columns, of rows with WHERE-COLUMN at least MIN or equal to the text
-# WHERE-VALUE, and with x at most MAX-X.
+# WHERE-VALUE, and with x at most MAX-X. A row of fan-out with an incomplete
+# answer, or in whose time a contract moved, is in no fit.
 pairs() {
     awk -F'\t' -v x="$2" -v y="$3" -v where="${4:-}" -v low="${5:-0}" \
         -v text="${6:-}" -v high="${7:-0}" '
         NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i; next }
+        ("complete" in at) && $at["complete"] != $at["sent"] { next }
+        ("contract_writes" in at) && $at["contract_writes"] > 0 { next }
         where != "" && text != "" && $at[where] != text { next }
         where != "" && text == "" && $at[where] + 0 < low { next }
         high > 0 && $at[x] + 0 > high { next }
@@ -37,9 +40,8 @@
     fit message "ns per byte" messages size value name 0 zsock 4096
     fit entry_part "us per part" fanout shards entry_us
     fit relay_part "us per part" fanout shards relay_us
-    # Above 400 shards contracts were still moving between the machines.
-    fit entry_part_2 "us per part" fanout2 shards entry_us "" 0 "" 400
-    fit relay_part_2 "us per part" fanout2 shards relay_us "" 0 "" 400
+    fit entry_part_2 "us per part" fanout2 shards entry_us
+    fit relay_part_2 "us per part" fanout2 shards relay_us
     fit searcher_part "us per part (stand-in)" fanout shards searcher_us
     fit entry_idle "1/1000 core per instance" fanout shards entry_idle_permille
     fit relay_idle "1/1000 core per instance" fanout shards relay_idle_permille
@@ -73,6 +75,35 @@
         tcp_received_per_s
     fit contract_list "bytes per searcher" searchers searchers \
         contract_list_bytes
+    fit zone_cpu "1/1000 core per zone" zones zones cpu_permille
+    fit zone_rss "kB per zone" zones zones rss_kb
+    fit zone_sent "bytes/s per zone" zones zones tcp_sent_per_s
+    fit zone_received "bytes/s per zone" zones zones tcp_received_per_s
+    fit zone_document "bytes per zone" zones zones document_bytes
+    fit held_agent "1/1000 core per contract held" held instances \
+        agent_permille
+    fit held_relay "1/1000 core per contract held" held instances \
+        relay_permille
+    fit held_agent_rss "kB per contract held" held instances agent_rss_kb
+    fit held_relay_rss "kB per contract held" held instances relay_rss_kb
+    fit held_state "bytes/s of STATE per contract held" held instances \
+        state_bytes_per_s
+    fit held_store "bytes/s with the store per contract held" held instances \
+        agent_store_bytes_per_s
+    fit held_http "bytes/s of probes per contract held" held instances \
+        relay_http_bytes_per_s
+    for kind in agent entry relay; do
+        fit "change_$kind" "us per change and document byte" change \
+            document_bytes "${kind}_us"
+    done
+    fit change_bytes "bytes per change and document byte" change \
+        document_bytes http_bytes
+    for kind in 0.2 0.5 1 2; do
+        fit "change_agent_at_$kind" "us per change and document byte" change \
+            document_bytes agent_us rate_per_s 0 "$kind"
+        fit "change_bytes_at_$kind" "bytes per change and document byte" \
+            change document_bytes http_bytes rate_per_s 0 "$kind"
+    done
     fit document "bytes per searcher" document searchers bytes bytes 1
     fit mesh_agent "1/1000 core per machine" mesh machines agent_permille
     fit mesh_entry "1/1000 core per machine" mesh machines entry_permille
@@ -102,8 +133,9 @@
     }'
 }
 
-# means FILE KEYS: means of the rows with equal values in the first KEYS
-# columns (the run is left out), and the spread of the first cost column.
+# means FILE KEYS [SPREAD]: means of the rows with equal values in the first KEYS
+# columns (the run is left out), and the spread of the first cost column, or of
+# the one SPREAD columns after it. Rows that pairs() leaves out are apart.
 means() {
     awk -F'\t' -v OFS='\t' -v keys="$2" '
         function show(v) { return v >= 100 || v == int(v) ? sprintf("%.0f", v) \
@@ -111,13 +143,21 @@
         NR == 1 {
             from = $1 == "run" ? 2 : 1
             out = "kind"
-            for (i = from; i <= NF; i++) { out = out OFS $i }
+            for (i = from; i <= NF; i++) {
+                out = out OFS $i
+                at[$i] = i
+            }
             print out, "runs", "spread"
             next
         }
         {
             key = ""
-            for (i = from; i < from + keys; i++) key = key (key == "" ? "" : OFS) $i
+            kind = "measured"
+            if (("complete" in at) && $at["complete"] != $at["sent"] ||
+                ("contract_writes" in at) && $at["contract_writes"] > 0)
+                kind = "measured, in no fit"
+            key = kind
+            for (i = from; i < from + keys; i++) key = key OFS $i
             if (!(key in n)) order[++count] = key
             n[key] += 1
             for (i = from + keys; i <= NF; i++) {
@@ -130,7 +170,7 @@
         END {
             for (k = 1; k <= count; k++) {
                 key = order[k]
-                line = "measured" OFS key
+                line = key
                 worst = 0
                 for (i = from + keys; i <= last; i++) {
                     mean = sum[key, i] / n[key]
@@ -177,6 +217,9 @@
 table_machines() { means machines 1; }
 table_listed() { means listed 1 1; }
 table_searchers() { means searchers 1 2; }
+table_zones() { means zones 1 1; }
+table_held() { means held 1; }
+table_change() { means change 2 3; }
 table_mesh() { means mesh 1 1; }
 table_document() { sed 's/^/measured\t/;1s/^measured/kind/' "$DATA/document.tsv" | markdown; }
 table_gossip() { sed 's/^/modelled\t/;1s/^modelled/kind/' "$DATA/gossip.tsv" | markdown; }
