Give the option test a copy of its arguments

Cause: the option parser takes the arguments that it read out of the array; the script runner then did not free them.

--- a/tests/common/test_common.c
+++ b/tests/common/test_common.c
@@ -144,8 +144,11 @@
     };
     const char *arguments = strcmp(argv[1], "-") == 0 ? NULL : argv[1];
     int count = argc - 1;
-    char **args = argv + 1;
+    /* The parser takes arguments out of the array; the caller frees them. */
+    char **copy = g_memdup2(argv + 1, sizeof(char *) * (size_t)argc);
+    char **args = copy;
     int rc = opt_parse(&count, &args, specs, 1, arguments, NULL);
+    g_free(copy);
     g_string_append_printf(out, "%s rate=%" PRId64 " left=%d", rc_name(rc),
                            rate, count - 1);
 }
