agent: count and drop CELL and CELL_PULL as messages between agents

These were neither counted nor dropped.

Change: the table lists the five messages of the local entry and relay instead; any other one is between agents, new ones included.

The bytes between agents in docs/MEASUREMENTS.md were taken before and lack these two messages, which are sent only when a cell changes.

--- a/agent/peer.c
+++ b/agent/peer.c
@@ -35,11 +35,10 @@
     g_free(conn);
 }
 
-/* Messages between agents; the others are of the local entry and relay. */
-static const bool prs_is_of_agents[MSG_TYPE_COUNT] = {
-    [MSG_BEAT] = true,    [MSG_BEAT_ACK] = true, [MSG_ASK] = true,
-    [MSG_VOTE] = true,    [MSG_PULL] = true,     [MSG_CONFIG] = true,
-    [MSG_MEMBERS] = true,
+/* Messages of the local entry and relay; all others are between agents. */
+static const bool prs_is_local[MSG_TYPE_COUNT] = {
+    [MSG_SUBSCRIBE] = true, [MSG_STATE] = true,    [MSG_LEASE] = true,
+    [MSG_RELEASED] = true,  [MSG_STOPPING] = true,
 };
 
 static bool
@@ -59,7 +58,7 @@
         cnt_add(peers->counters, "messages_dropped_total", "malformed");
         return;
     }
-    if (prs_is_of_agents[msg.type]) {
+    if (!prs_is_local[msg.type]) {
         *peers->peer_received_bytes += data_bytes;
         if (prs_is_dropped(peers)) {
             cnt_add(peers->counters, "messages_dropped_total", "test");
@@ -158,7 +157,7 @@
         return rc;
     }
     *peers->sent_bytes += peers->buffer.size;
-    if (prs_is_of_agents[type]) {
+    if (!prs_is_local[type]) {
         *peers->peer_sent_bytes += peers->buffer.size;
     }
     return RC_OK;
