Share the rule for an instance without a searcher, and small repetitions

Cause: a read of the whole change. carobhatchctl and the entry each had the rule for an instance that no searcher may serve; the relay decoded messages twice alike; the agent looked at all contracts for each contract it holds, at each event, before it checked the times; the comment of hcl_close() stood above another function.

Behaviour is the same.

The processor time of an agent was not measured again.

--- a/agent/contract.c
+++ b/agent/contract.c
@@ -617,17 +617,18 @@
     if (other == NULL) {
         return;
     }
-    size_t drains = ctr_drain_count(contracts);
     if (!view->can_hold) {
-        if (drains < CTR_DRAINS_MAX) {
+        if (ctr_drain_count(contracts) < CTR_DRAINS_MAX) {
             ctr_drain(contracts, contract, now_us, "stop");
         }
         return;
     }
-    if (!ctr_is_any_moving(contracts) && contract->is_wanted &&
+    /* The last condition looks at every contract. */
+    if (contract->is_wanted &&
         now_us - view->stable_since_us >= CTR_STABLE_US &&
         now_us - contracts->rebalance_us >= CTR_REBALANCE_US &&
-        ctr_is_preferred(contract->key, other->name, contracts->machine)) {
+        ctr_is_preferred(contract->key, other->name, contracts->machine) &&
+        !ctr_is_any_moving(contracts)) {
         contracts->rebalance_us = now_us;
         contracts->outstanding += 1;
         ctr_set_step(contract, now_us, CTR_CHECKING);
--- a/common/config.c
+++ b/common/config.c
@@ -47,7 +47,7 @@
     return false;
 }
 
-static bool
+bool
 cfg_instance_is_served(const struct cfg *cfg,
                        const struct cfg_instance *instance)
 {
--- a/common/config_json.c
+++ b/common/config_json.c
@@ -65,6 +65,14 @@
     }
 }
 
+struct cfg *
+cfg_build(const json_t *document)
+{
+    struct cfg *cfg = g_new0(struct cfg, 1);
+    cfg_fill(cfg, &cfg_schema_document, document);
+    return cfg;
+}
+
 int
 cfg_parse(const char *json, size_t json_bytes, struct cfg **out, char **error)
 {
@@ -80,8 +88,7 @@
     int rc = cfg_check(document, CFG_WHOLE, &fault);
     if (rc == RC_OK) {
         cfg_set_defaults(document);
-        *out = g_new0(struct cfg, 1);
-        cfg_fill(*out, &cfg_schema_document, document);
+        *out = cfg_build(document);
     }
     else {
         *error = g_strdup_printf(
--- a/include/common/config.h
+++ b/include/common/config.h
@@ -91,8 +91,12 @@
 /* False for a zone that is out or not declared. */
 bool cfg_zone_is_in(const struct cfg *cfg, const char *name);
 
-/* Instances of the service that no searcher may serve now: each is leaving or
- * in a zone that is out. */
+/* Whether some searcher of the instance is neither leaving nor in a zone that
+ * is out. */
+bool cfg_instance_is_served(const struct cfg *cfg,
+                            const struct cfg_instance *instance);
+
+/* Instances of the service that are not served. */
 size_t cfg_idle_instances(const struct cfg *cfg,
                           const struct cfg_service *service);
 
--- a/include/common/config_schema.h
+++ b/include/common/config_schema.h
@@ -71,4 +71,10 @@
 /* Adds each optional field that is missing from a checked document. */
 void cfg_set_defaults(json_t *document);
 
+struct cfg;
+
+/* Builds the structs from a checked document with all defaults set; a missing
+ * revision is 0. Free with cfg_free(). */
+struct cfg *cfg_build(const json_t *document);
+
 #endif
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -51,10 +51,6 @@
                 const char *extra_headers, const void *body, size_t body_bytes,
                 hcl_response_cb response, void *ctx);
 
-/*
- * Closes the connection; a request in flight is cancelled and its callback is
- * not called.
- */
 /*
  * Ends the sending side; the response of the current request is discarded and
  * its callback not called. `lost` is called when the peer closes its side, or
@@ -63,6 +59,10 @@
  */
 int hcl_shut_down(struct hcl_conn *conn);
 
+/*
+ * Closes the connection; a request in flight is cancelled and its callback is
+ * not called.
+ */
 void hcl_close(struct hcl_conn *conn);
 
 #endif
--- a/relay/server.c
+++ b/relay/server.c
@@ -51,14 +51,25 @@
     rly_stop(server->relay, srv_now_us());
 }
 
+/* The message must be cleared if this returns true. */
+static bool
+srv_decode(const struct srv *server, const void *data, size_t data_bytes,
+           struct msg *out)
+{
+    if (msg_decode(data, data_bytes, out) == RC_OK) {
+        return true;
+    }
+    cnt_add(server->counters, "messages_dropped_total", "undecodable");
+    return false;
+}
+
 static void
 srv_on_entry(struct zsk_socket *socket, const struct zsk_peer *peer,
              const void *data, size_t data_bytes, void *ctx)
 {
     struct srv *server = ctx;
     struct msg msg;
-    if (msg_decode(data, data_bytes, &msg) != RC_OK) {
-        cnt_add(server->counters, "messages_dropped_total", "undecodable");
+    if (!srv_decode(server, data, data_bytes, &msg)) {
         return;
     }
     rly_on_entry(server->relay, peer, &msg, srv_now_us());
@@ -72,8 +83,7 @@
 {
     struct srv *server = ctx;
     struct msg msg;
-    if (msg_decode(data, data_bytes, &msg) != RC_OK) {
-        cnt_add(server->counters, "messages_dropped_total", "undecodable");
+    if (!srv_decode(server, data, data_bytes, &msg)) {
         return;
     }
     rly_on_agent(server->relay, &msg, srv_now_us());
