--- a/bench/tables.sh
+++ b/bench/tables.sh
@@ -2,16 +2,23 @@
 # Tables of docs/CAPACITY.md from docs/capacity/*.tsv; sourced by
 # scripts/capacity, which sets DATA and PAGE.
 
+# For awk: whether the row is in no fit: fan-out with an incomplete answer, or in
+# whose time a contract moved. `at` holds the columns by name.
+# shellcheck disable=SC2016
+UNFIT='
+    function unfit() {
+        return ("complete" in at) && $at["complete"] != $at["sent"] ||
+            ("contract_writes" in at) && $at["contract_writes"] > 0
+    }'
+
 # pairs FILE X Y [WHERE-COLUMN MIN [WHERE-VALUE [MAX-X]]]: lines `x y` of two
 # columns, of rows with WHERE-COLUMN at least MIN or equal to the text
-# WHERE-VALUE, and with x at most MAX-X. A row of fan-out with an incomplete
-# answer, or in whose time a contract moved, is in no fit.
+# WHERE-VALUE, and with x at most MAX-X, and that are not unfit.
 pairs() {
     awk -F'\t' -v x="$2" -v y="$3" -v where="${4:-}" -v low="${5:-0}" \
-        -v text="${6:-}" -v high="${7:-0}" '
+        -v text="${6:-}" -v high="${7:-0}" "$UNFIT"'
         NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i; next }
-        ("complete" in at) && $at["complete"] != $at["sent"] { next }
-        ("contract_writes" in at) && $at["contract_writes"] > 0 { next }
+        unfit() { next }
         where != "" && text != "" && $at[where] != text { next }
         where != "" && text == "" && $at[where] + 0 < low { next }
         high > 0 && $at[x] + 0 > high { next }
@@ -137,7 +144,7 @@
 # columns (the run is left out), and the spread of the first cost column, or of
 # the one SPREAD columns after it. Rows that pairs() leaves out are apart.
 means() {
-    awk -F'\t' -v OFS='\t' -v keys="$2" '
+    awk -F'\t' -v OFS='\t' -v keys="$2" "$UNFIT"'
         function show(v) { return v >= 100 || v == int(v) ? sprintf("%.0f", v) \
             : v >= 1 ? sprintf("%.1f", v) : sprintf("%.3f", v) }
         NR == 1 {
@@ -151,12 +158,7 @@
             next
         }
         {
-            key = ""
-            kind = "measured"
-            if (("complete" in at) && $at["complete"] != $at["sent"] ||
-                ("contract_writes" in at) && $at["contract_writes"] > 0)
-                kind = "measured, in no fit"
-            key = kind
+            key = unfit() ? "measured, in no fit" : "measured"
             for (i = from; i < from + keys; i++) key = key OFS $i
             if (!(key in n)) order[++count] = key
             n[key] += 1
@@ -185,10 +187,23 @@
         }' SPREAD="${3:-0}" "$DATA/$1.tsv" | markdown
 }
 
+# For awk: sorts v[key, 1] to v[key, n].
+# shellcheck disable=SC2016
+SORT='
+    function sort(v, key, n,    i, j, t) {
+        for (i = 1; i <= n; i++)
+            for (j = i + 1; j <= n; j++)
+                if (v[key, j] + 0 < v[key, i] + 0) {
+                    t = v[key, i]
+                    v[key, i] = v[key, j]
+                    v[key, j] = t
+                }
+    }'
+
 table_assumed() { markdown <"$DATA/assumed.tsv"; }
 
 table_messages() {
-    awk -F'\t' -v OFS='\t' '
+    awk -F'\t' -v OFS='\t' "$SORT"'
         NR == 1 { print "kind", "name", "size", "unit", "median", "lowest",
                       "highest"; next }
         {
@@ -199,13 +214,7 @@
         END {
             for (k = 1; k <= count; k++) {
                 key = order[k]
-                for (i = 1; i <= n[key]; i++)
-                    for (j = i + 1; j <= n[key]; j++)
-                        if (v[key, j] + 0 < v[key, i] + 0) {
-                            t = v[key, i]
-                            v[key, i] = v[key, j]
-                            v[key, j] = t
-                        }
+                sort(v, key, n[key])
                 print "measured", key, v[key, int((n[key] + 1) / 2)],
                     v[key, 1], v[key, n[key]]
             }
@@ -225,7 +234,7 @@
 table_gossip() { sed 's/^/modelled\t/;1s/^modelled/kind/' "$DATA/gossip.tsv" | markdown; }
 
 table_revision() {
-    awk -F'\t' -v OFS='\t' '
+    awk -F'\t' -v OFS='\t' "$SORT"'
         NR == 1 { print "kind", "machines", "path", "changes", "median ms",
                       "maximum ms"; next }
         {
@@ -236,13 +245,7 @@
         END {
             for (k = 1; k <= count; k++) {
                 key = order[k]
-                for (i = 1; i <= n[key]; i++)
-                    for (j = i + 1; j <= n[key]; j++)
-                        if (v[key, j] + 0 < v[key, i] + 0) {
-                            t = v[key, i]
-                            v[key, i] = v[key, j]
-                            v[key, j] = t
-                        }
+                sort(v, key, n[key])
                 print "measured", key, n[key], v[key, int((n[key] + 1) / 2)],
                     v[key, n[key]]
             }
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -1,5 +1,5 @@
-# The deployments of examples/ on loopback addresses; after lib.sh. Searcher
-# ports must match scripts/generate-examples.
+# The deployments of examples/ on loopback addresses: their sizes, which
+# scripts/generate-examples writes into the files, and their start, after lib.sh.
 
 # Of each service: name, instances, searchers of an instance, slots,
 # connections, microseconds for a new connection, first port.
