--- a/common/budget.c
+++ b/common/budget.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include "common/budget.h"
 #include "common/invariant.h"
 
@@ -12,6 +14,22 @@
     };
 }
 
+void
+bgt_init_full(struct bgt *budget, uint32_t permille, uint32_t max_tokens)
+{
+    bgt_init(budget, permille, max_tokens);
+    budget->initial_tokens = max_tokens;
+    budget->millitokens = (uint64_t)max_tokens * BGT_MILLI;
+}
+
+void
+bgt_set_max(struct bgt *budget, uint32_t max_tokens)
+{
+    budget->max_tokens = max_tokens;
+    budget->millitokens =
+        MIN(budget->millitokens, (uint64_t)max_tokens * BGT_MILLI);
+}
+
 void
 bgt_earn(struct bgt *budget)
 {
@@ -33,6 +51,7 @@
     budget->spent_count += 1;
     /* Extra load never exceeds its share of the first attempts. */
     CH_INVARIANT(budget->spent_count * BGT_MILLI <=
-                 budget->earned_count * budget->permille);
+                 budget->earned_count * budget->permille +
+                     (uint64_t)budget->initial_tokens * BGT_MILLI);
     return true;
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -15,7 +15,7 @@
 #define HSV_IDLE_TIMEOUT_MS (60ULL * 1000)
 
 /* How often connections with a waiting request are checked for their end. */
-#define HSV_GONE_CHECK_MS 20
+#define HSV_GONE_CHECK_MS 20ULL
 
 struct hsv_server {
     uv_tcp_t listener;
@@ -27,6 +27,7 @@
     hsv_handler_cb handler;
     void *ctx;
     uint32_t connection_count;
+    uint64_t gone_check_ms;
     int is_stopping;
 };
 
@@ -37,6 +38,7 @@
     GList link; /* in server->waiting */
     h2o_req_t *h2o;
     char *method;
+    char *target;
     char *path;
     char *query;
     char *body;
@@ -58,6 +60,7 @@
 hsv_slot_free(struct hsv_slot *slot)
 {
     g_free(slot->method);
+    g_free(slot->target);
     g_free(slot->path);
     g_free(slot->query);
     g_free(slot->body);
@@ -138,10 +141,22 @@
     g_queue_push_tail_link(&server->waiting, &slot->link);
     if (!uv_is_active((uv_handle_t *)&server->gone_timer)) {
         uv_timer_start(&server->gone_timer, hsv_on_gone_check,
-                       HSV_GONE_CHECK_MS, HSV_GONE_CHECK_MS);
+                       server->gone_check_ms, server->gone_check_ms);
     }
 }
 
+/* A copy with a NUL behind it; the bytes may hold NULs themselves. */
+static char *
+hsv_copy(const char *bytes, size_t count)
+{
+    char *copy = g_malloc(count + 1);
+    if (count > 0) {
+        memcpy(copy, bytes, count);
+    }
+    copy[count] = '\0';
+    return copy;
+}
+
 static int
 hsv_on_request(h2o_handler_t *self, h2o_req_t *req)
 {
@@ -162,10 +177,11 @@
     slot->h2o = req;
     slot->method = g_strndup(req->method.base, req->method.len);
     slot->path = g_strndup(req->path.base, path_bytes);
-    slot->body = g_strndup(req->entity.base != NULL ? req->entity.base : "",
-                           req->entity.len);
+    slot->target = hsv_copy(req->input.path.base, req->input.path.len);
+    slot->body = hsv_copy(req->entity.base, req->entity.len);
     slot->request = (struct hsv_request){
         .method = slot->method,
+        .target = slot->target,
         .path = slot->path,
         .query = slot->query,
         .body = slot->body,
@@ -198,6 +214,39 @@
                      headers->entries[i].value.len);
 }
 
+void
+hsv_each_field(const struct hsv_request *request, hsv_field_cb visit,
+               void *ctx)
+{
+    const struct hsv_slot *slot = hsv_slot_of(request);
+    if (slot->h2o == NULL) {
+        return;
+    }
+    const h2o_headers_t *headers = &slot->h2o->headers;
+    for (size_t i = 0; i < headers->size; i++) {
+        const h2o_header_t *header = &headers->entries[i];
+        visit(
+            &(struct http_field){
+                .name = header->name->base,
+                .name_bytes = header->name->len,
+                .value = header->value.base,
+                .value_bytes = header->value.len,
+            },
+            ctx);
+    }
+}
+
+char *
+hsv_host(const struct hsv_request *request)
+{
+    const struct hsv_slot *slot = hsv_slot_of(request);
+    if (slot->h2o == NULL) {
+        return g_strdup("");
+    }
+    h2o_iovec_t host = slot->h2o->input.authority;
+    return hsv_copy(host.base, host.len);
+}
+
 char *
 hsv_query_value(const struct hsv_request *request, const char *name)
 {
@@ -214,8 +263,9 @@
 }
 
 void
-hsv_respond(struct hsv_request *request, int status, const char *content_type,
-            const void *body, size_t body_bytes)
+hsv_respond_fields(struct hsv_request *request, int status,
+                   const struct http_field *fields, size_t field_count,
+                   const void *body, size_t body_bytes)
 {
     struct hsv_slot *slot = hsv_slot_of(request);
     slot->is_answered = 1;
@@ -229,11 +279,36 @@
     /* Known in advance, so that h2o need not send the body in chunks. */
     req->res.content_length = body_bytes;
     req->res.reason = status < 400 ? "OK" : "Error";
-    h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
-                   content_type, strlen(content_type));
+    for (size_t i = 0; i < field_count; i++) {
+        h2o_iovec_t name =
+            h2o_strdup(&req->pool, fields[i].name, fields[i].name_bytes);
+        h2o_iovec_t value =
+            h2o_strdup(&req->pool, fields[i].value, fields[i].value_bytes);
+        h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+                              name.len, 1, NULL, value.base, value.len);
+    }
     h2o_send_inline(req, body, body_bytes);
 }
 
+void
+hsv_respond(struct hsv_request *request, int status, const char *content_type,
+            const void *body, size_t body_bytes)
+{
+    struct http_field field = {
+        .name = "content-type",
+        .name_bytes = strlen("content-type"),
+        .value = content_type,
+        .value_bytes = strlen(content_type),
+    };
+    hsv_respond_fields(request, status, &field, 1, body, body_bytes);
+}
+
+void
+hsv_set_gone_check(struct hsv_server *server, uint64_t interval_ms)
+{
+    server->gone_check_ms = interval_ms;
+}
+
 static void
 hsv_on_connection_closed(uv_handle_t *handle)
 {
@@ -289,6 +364,7 @@
     struct hsv_server *server = g_new0(struct hsv_server, 1);
     server->handler = handler;
     server->ctx = ctx;
+    server->gone_check_ms = HSV_GONE_CHECK_MS;
     hsv_configure(server, max_body_bytes);
     h2o_context_init(&server->context, loop, &server->config);
     server->accept_ctx.ctx = &server->context;
@@ -315,6 +391,13 @@
     return RC_OK;
 }
 
+void
+hsv_drain(struct hsv_server *server)
+{
+    /* Each further answer carries "Connection: close". */
+    h2o_context_request_shutdown(&server->context);
+}
+
 void
 hsv_stop(struct hsv_server *server)
 {
@@ -323,8 +406,7 @@
     }
     server->is_stopping = 1;
     uv_close((uv_handle_t *)&server->listener, NULL);
-    /* Each further answer carries "Connection: close". */
-    h2o_context_request_shutdown(&server->context);
+    hsv_drain(server);
 }
 
 uint32_t
--- a/common/log.c
+++ b/common/log.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <log4c.h>
 #include <stdarg.h>
@@ -5,12 +7,17 @@
 #include <string.h>
 #include <sys/time.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "common/log.h"
 #include "common/rc.h"
 
 static log4c_category_t *log_category;
 static char *log_prefix;
+static int log_fd = STDERR_FILENO;
+static unsigned long log_dropped;
+static gint64 log_sample_second;
+static unsigned log_sample_count;
 
 static const char *
 log_layout_format(const log4c_layout_t *layout,
@@ -37,7 +44,11 @@
 log_appender_append(log4c_appender_t *appender,
                     const log4c_logging_event_t *event)
 {
-    return fputs(event->evt_rendered_msg, stderr);
+    size_t bytes = strlen(event->evt_rendered_msg);
+    if (write(log_fd, event->evt_rendered_msg, bytes) != (ssize_t)bytes) {
+        log_dropped += 1;
+    }
+    return 0;
 }
 
 /* log4c's own appenders put the appender's name before each line. */
@@ -99,6 +110,25 @@
     return RC_OK;
 }
 
+void
+log_to_stdout(void)
+{
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0) {
+        log_warn("log", "standard output may block error=\"%s\"",
+                 g_strerror(errno));
+    }
+    log_fd = STDOUT_FILENO;
+}
+
+unsigned long
+log_take_dropped(void)
+{
+    unsigned long dropped = log_dropped;
+    log_dropped = 0;
+    return dropped;
+}
+
 void
 log_close(void)
 {
@@ -110,8 +140,9 @@
     log_prefix = NULL;
 }
 
-void
-log_write(enum log_level level, const char *module, const char *format, ...)
+static void
+log_write_args(enum log_level level, const char *module, const char *format,
+               va_list args)
 {
     static const int priorities[] = {
         [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
@@ -125,10 +156,35 @@
         return;
     }
     char text[1536];
-    va_list args;
-    va_start(args, format);
     vsnprintf(text, sizeof(text), format, args);
-    va_end(args);
     log4c_category_log(log_category, priority, "%s module=%s %s", log_prefix,
                        module, text);
 }
+
+void
+log_write(enum log_level level, const char *module, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    log_write_args(level, module, format, args);
+    va_end(args);
+}
+
+void
+log_sample(const char *module, const char *format, ...)
+{
+    gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
+    if (second != log_sample_second) {
+        log_sample_second = second;
+        log_sample_count = 0;
+    }
+    if (log_sample_count >= LOG_SAMPLES_PER_S) {
+        log_dropped += 1;
+        return;
+    }
+    log_sample_count += 1;
+    va_list args;
+    va_start(args, format);
+    log_write_args(LOG_LEVEL_INFO, module, format, args);
+    va_end(args);
+}
--- a/common/msg.c
+++ b/common/msg.c
@@ -136,6 +136,12 @@
      U64(msg_cell, version),
      LIST(msg_cell, members, member_count, msg_member_desc))
 
+DESC(msg_vm_beat, STR(msg_vm_beat, name), U64(msg_vm_beat, start),
+     STR(msg_vm_beat, dc), STR(msg_vm_beat, request_address),
+     STR(msg_vm_beat, peer_address), U64(msg_vm_beat, is_ready),
+     I64(msg_vm_beat, config_change), I64(msg_vm_beat, backend_change),
+     I64(msg_vm_beat, drain_change))
+
 static const struct msg_desc *const msg_descs[MSG_TYPE_COUNT] = {
     [MSG_HELLO] = &msg_hello_desc,
     [MSG_OFFER] = &msg_offer_desc,
@@ -161,6 +167,7 @@
     [MSG_CELL_PULL] = &msg_cell_pull_desc,
     [MSG_CELL] = &msg_cell_desc,
     [MSG_CONFIRM_OFFER] = &msg_confirm_offer_desc,
+    [MSG_VM_BEAT] = &msg_vm_beat_desc,
 };
 
 static void msg_pack_fields(msgpack_packer *packer,
--- a/common/net.c
+++ b/common/net.c
@@ -1,10 +1,22 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
+#include "common/log.h"
 #include "common/net.h"
 #include "common/rc.h"
 
+/* A silent peer is noticed after NET_IDLE_S + NET_PROBES * NET_PROBE_IVL_S
+ * while the connection is idle and after NET_UNACKED_MS while data is not
+ * acknowledged. */
+#define NET_IDLE_S 1
+#define NET_PROBE_IVL_S 1
+#define NET_PROBES 2
+#define NET_UNACKED_MS 3000
+
 int
 net_parse(const char *text, struct sockaddr_in *out)
 {
@@ -25,3 +37,32 @@
     g_free(host);
     return ok == 1 ? RC_OK : RC_INVALID;
 }
+
+void
+net_detect_silence(const uv_handle_t *tcp)
+{
+    static const struct {
+        int level;
+        int name;
+        int value;
+    } options[] = {
+        {SOL_SOCKET, SO_KEEPALIVE, 1},
+        {IPPROTO_TCP, TCP_KEEPIDLE, NET_IDLE_S},
+        {IPPROTO_TCP, TCP_KEEPINTVL, NET_PROBE_IVL_S},
+        {IPPROTO_TCP, TCP_KEEPCNT, NET_PROBES},
+        {IPPROTO_TCP, TCP_USER_TIMEOUT, NET_UNACKED_MS},
+    };
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(tcp, &fd) != 0) {
+        log_warn("net", "connection has no descriptor");
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+        if (setsockopt(fd, options[i].level, options[i].name,
+                       &options[i].value, sizeof(options[i].value)) != 0) {
+            log_warn("net", "cannot set keep-alive option=%d error=\"%s\"",
+                     options[i].name, g_strerror(errno));
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/app.c
@@ -0,0 +1,408 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/app.h"
+
+#define APP_TICK_MS 100
+#define APP_SETTINGS_IVL_US (2LL * 1000 * 1000)
+#define APP_BODY_MAX_BYTES (16 * 1024 * 1024)
+/* How soon work is given up for a caller that left. */
+#define APP_GONE_CHECK_MS 100
+/* After SIGTERM callers still come until their address lists have run out;
+ * from then on the VM takes no new connection and exits once it is idle. */
+#define APP_ACCEPT_US (3300LL * 1000)
+/* Share of the grace period after which open requests are given up. */
+#define APP_GIVE_UP_PERMILLE 880
+/* Time for the last answers to leave. */
+#define APP_FLUSH_US (150 * 1000)
+#define APP_BOUND_SCALE 1000.0
+
+int64_t
+app_now_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* xorshift64*: the choice among equal replicas needs no better source. */
+static uint64_t
+app_random_bits(struct app *app)
+{
+    uint64_t state = app->random_state;
+    state ^= state >> 12;
+    state ^= state << 25;
+    state ^= state >> 27;
+    app->random_state = state;
+    return state * 0x2545F4914F6CDD1DULL;
+}
+
+static double
+app_random(void *ctx)
+{
+    return (double)(app_random_bits(ctx) >> 11) / (double)(1ULL << 53);
+}
+
+bool
+app_is_ready(const struct app *app)
+{
+    return app->stopping_us == 0 && app->gtw.config != NULL &&
+           app->syn.feeds[MEM_BACKENDS].has_list;
+}
+
+static void
+app_fetch(const struct syn_fetch *fetch, void *ctx)
+{
+    struct app *app = ctx;
+    if (fetch->peer != NULL) {
+        pio_fetch(app->peers, fetch);
+    }
+    else {
+        sto_fetch(app->store, fetch);
+    }
+}
+
+static void
+app_apply_config(struct app *app, const struct syn_object *object,
+                 int64_t now_us)
+{
+    struct gcf *config = NULL;
+    if (object->is_deleted || strcmp(object->name, "main") != 0 ||
+        app->wire->read_config(object, &config) != RC_OK) {
+        return;
+    }
+    if (gtw_adopt(&app->gtw, config) == RC_STALE) {
+        cnt_add(app->counters, "gateway_configs_dropped", "stale");
+    }
+}
+
+static void
+app_apply_backend(struct app *app, const struct syn_object *object,
+                  int64_t remove_us, int64_t now_us)
+{
+    struct bke_entry entry;
+    if (!object->is_deleted &&
+        app->wire->read_backend(object, &entry) == RC_OK) {
+        log_info("backend",
+                 "entry id=%s service=%s address=%s dc=%s draining=%d "
+                 "warmup_ms=%" PRId64 " revision=%" PRId64,
+                 entry.id, entry.service, entry.address, entry.dc,
+                 entry.is_draining, entry.warmup_left_us / 1000,
+                 object->revision);
+        bke_note(&app->gtw.backends, &entry, now_us);
+        return;
+    }
+    log_info("backend", "entry gone id=%s remove_in_ms=%" PRId64, object->name,
+             (remove_us - now_us) / 1000);
+    bke_lapse(&app->gtw.backends, object->name, remove_us);
+}
+
+static void
+app_apply(enum mem_kind kind, const struct syn_object *object,
+          int64_t remove_us, int64_t now_us, void *ctx)
+{
+    struct app *app = ctx;
+    switch (kind) {
+    case MEM_CONFIG:
+        app_apply_config(app, object, now_us);
+        break;
+    case MEM_BACKENDS:
+        app_apply_backend(app, object, remove_us, now_us);
+        break;
+    case MEM_DRAINED_DCS:
+        log_info("drain", "data centre dc=%s out=%d", object->name,
+                 !object->is_deleted);
+        if (object->is_deleted) {
+            g_hash_table_remove(app->gtw.drained_dcs, object->name);
+        }
+        else {
+            g_hash_table_add(app->gtw.drained_dcs, g_strdup(object->name));
+        }
+        break;
+    case MEM_KIND_COUNT:
+        break;
+    }
+}
+
+static const struct syn_calls app_syn_calls = {
+    .fetch = app_fetch,
+    .apply = app_apply,
+};
+
+static const struct gtw_calls app_gtw_calls = {
+    .link = {.connect = lio_connect, .close = lio_close},
+    .send = lio_send,
+    .answer = cio_answer,
+    .random = app_random,
+};
+
+static void
+app_use_bounds(struct app *app)
+{
+    const struct stg *settings = &app->settings;
+    app->gtw.bounds = (struct gtw_bounds){
+        .extra_permille = (uint32_t)settings->extra_permille,
+        .extra_count = (uint32_t)settings->extra_count,
+        .warmup_overshoot =
+            (double)settings->warmup_overshoot_permille / APP_BOUND_SCALE,
+        .warmup_slack = (uint32_t)settings->warmup_slack,
+    };
+}
+
+static int64_t
+app_settings_mtime_ns(const struct app *app)
+{
+    uv_fs_t req;
+    int failed = uv_fs_stat(NULL, &req, app->settings_path, NULL);
+    int64_t mtime_ns = failed != 0
+                           ? 0
+                           : (int64_t)req.statbuf.st_mtim.tv_sec * 1000000000 +
+                                 req.statbuf.st_mtim.tv_nsec;
+    uv_fs_req_cleanup(&req);
+    return mtime_ns;
+}
+
+/* Reads the settings again; wrong ones are not used. */
+static void
+app_reload(struct app *app)
+{
+    struct stg settings;
+    app->settings_mtime_ns = app_settings_mtime_ns(app);
+    if (stg_read(app->settings_path, &settings) != RC_OK) {
+        log_error("app", "settings kept file=%s", app->settings_path);
+        return;
+    }
+    if (strcmp(settings.request_listen, app->settings.request_listen) != 0) {
+        log_warn("app", "addresses change at the next start only");
+    }
+    char *store = app->settings.store;
+    app->settings.store = settings.store;
+    settings.store = store;
+    app->settings.extra_permille = settings.extra_permille;
+    app->settings.extra_count = settings.extra_count;
+    app->settings.warmup_overshoot_permille =
+        settings.warmup_overshoot_permille;
+    app->settings.warmup_slack = settings.warmup_slack;
+    app->settings.config_apply_ms = settings.config_apply_ms;
+    app->settings.grace_ms = settings.grace_ms;
+    app->settings.address_ttl_max_ms = settings.address_ttl_max_ms;
+    stg_clear(&settings);
+    app_use_bounds(app);
+    log_info("app", "settings read file=%s store=%s", app->settings_path,
+             app->settings.store);
+}
+
+static void
+app_check_settings(struct app *app, int64_t now_us)
+{
+    if (now_us - app->settings_checked_us < APP_SETTINGS_IVL_US) {
+        return;
+    }
+    app->settings_checked_us = now_us;
+    if (app_settings_mtime_ns(app) != app->settings_mtime_ns) {
+        app_reload(app);
+    }
+    unsigned long dropped = log_take_dropped();
+    if (dropped > 0) {
+        log_info("log", "lines dropped count=%lu", dropped);
+    }
+}
+
+static void
+app_tick_stop(struct app *app, int64_t now_us)
+{
+    int64_t since_us = now_us - app->stopping_us;
+    int64_t give_up_us =
+        app->settings.grace_ms * APP_GIVE_UP_PERMILLE; /* ms x permille */
+    if (since_us >= MIN(APP_ACCEPT_US, give_up_us)) {
+        hsv_stop(app->request_server);
+    }
+    if (since_us >= give_up_us) {
+        gtw_end_all(&app->gtw, now_us);
+    }
+    bool is_idle = g_queue_is_empty(&app->gtw.asks) &&
+                   since_us >= APP_ACCEPT_US + APP_FLUSH_US;
+    if (is_idle || since_us >= give_up_us + APP_FLUSH_US) {
+        log_info("app", "stopped after_ms=%" PRId64, since_us / 1000);
+        uv_stop(&app->loop);
+    }
+}
+
+static void
+app_on_tick(uv_timer_t *timer)
+{
+    struct app *app = timer->data;
+    int64_t now_us = app_now_us();
+    app->gtw.vms = mem_sender_count(&app->mem, now_us);
+    app->gtw.is_config_stale =
+        syn_is_stale(&app->syn, app->settings.config_apply_ms * 1000, now_us);
+    syn_tick(&app->syn, &app->mem, now_us);
+    bke_tick(&app->gtw.backends, now_us);
+    pio_tick(app->peers, now_us);
+    sto_tick(app->store, now_us);
+    app_check_settings(app, now_us);
+    if (app->stopping_us > 0) {
+        app_tick_stop(app, now_us);
+    }
+}
+
+static void
+app_on_due(uv_timer_t *timer)
+{
+    struct app *app = timer->data;
+    gtw_tick(&app->gtw, app_now_us());
+}
+
+/* Sets the timer of the request that is due next, once in each round of the
+ * loop. */
+static void
+app_on_prepare(uv_prepare_t *prepare)
+{
+    struct app *app = prepare->data;
+    int64_t due_us = gtw_due_us(&app->gtw);
+    if (due_us == INT64_MAX) {
+        uv_timer_stop(&app->due_timer);
+        return;
+    }
+    uv_update_time(&app->loop);
+    int64_t left_us = MAX(due_us - app_now_us(), 0);
+    uv_timer_start(&app->due_timer, app_on_due,
+                   (uint64_t)(left_us + 999) / 1000, 0);
+}
+
+static void
+app_on_term(uv_signal_t *signal, int number)
+{
+    struct app *app = signal->data;
+    if (app->stopping_us > 0) {
+        return;
+    }
+    app->stopping_us = app_now_us();
+    log_info("app", "stopping signal=%d open_requests=%u", number,
+             app->gtw.asks.length);
+    pio_beat(app->peers);
+    sto_unlist(app->store);
+    hsv_drain(app->request_server);
+}
+
+static void
+app_on_hup(uv_signal_t *signal, int number)
+{
+    log_info("app", "reload signal=%d", number);
+    app_reload(signal->data);
+}
+
+static int
+app_listen(struct app *app)
+{
+    const struct stg *settings = &app->settings;
+    int rc = hsv_open(&app->loop, settings->request_listen, APP_BODY_MAX_BYTES,
+                      cio_on_request, app, &app->request_server);
+    if (rc != RC_OK) {
+        return rc;
+    }
+    hsv_set_gone_check(app->request_server, APP_GONE_CHECK_MS);
+    rc = hsv_open(&app->loop, settings->ready_listen, 0, dio_on_ready, app,
+                  &app->ready_server);
+    if (rc != RC_OK) {
+        return rc;
+    }
+    rc = hsv_open(&app->loop, settings->directory_listen, 0, dio_on_directory,
+                  app, &app->directory_server);
+    if (rc != RC_OK || settings->metrics_port == 0) {
+        return rc;
+    }
+    char *address =
+        g_strdup_printf("%s:%" PRId64, settings->ip, settings->metrics_port);
+    rc = hsv_open(&app->loop, address, 0, dio_on_metrics, app,
+                  &app->metrics_server);
+    g_free(address);
+    return rc;
+}
+
+static void
+app_start_timers(struct app *app)
+{
+    uv_timer_init(&app->loop, &app->tick_timer);
+    app->tick_timer.data = app;
+    uv_timer_start(&app->tick_timer, app_on_tick, 0, APP_TICK_MS);
+    uv_timer_init(&app->loop, &app->due_timer);
+    app->due_timer.data = app;
+    uv_prepare_init(&app->loop, &app->prepare);
+    app->prepare.data = app;
+    uv_prepare_start(&app->prepare, app_on_prepare);
+    uv_signal_init(&app->loop, &app->term_signal);
+    app->term_signal.data = app;
+    uv_signal_start(&app->term_signal, app_on_term, SIGTERM);
+    uv_signal_init(&app->loop, &app->hup_signal);
+    app->hup_signal.data = app;
+    uv_signal_start(&app->hup_signal, app_on_hup, SIGHUP);
+}
+
+static uint64_t
+app_draw_start(void)
+{
+    uint64_t start = 0;
+    if (uv_random(NULL, NULL, &start, sizeof(start), 0, NULL) != 0) {
+        log_warn("app", "no random source, using the clock");
+        start = (uint64_t)app_now_us();
+    }
+    return start | 1;
+}
+
+static void
+app_clear(struct app *app)
+{
+    gtw_clear(&app->gtw);
+    sto_free(app->store);
+    pio_free(app->peers);
+    syn_clear(&app->syn);
+    mem_clear(&app->mem);
+    cnt_set_free(app->counters);
+    g_free(app->peer_address);
+    stg_clear(&app->settings);
+}
+
+int
+app_run(const char *settings_path, const struct wir *wire)
+{
+    struct app *app = g_new0(struct app, 1);
+    app->wire = wire;
+    app->settings_path = settings_path;
+    if (stg_read(settings_path, &app->settings) != RC_OK) {
+        g_free(app);
+        return RC_INVALID;
+    }
+    log_open("gateway", app->settings.vm, "info");
+    app->settings_mtime_ns = app_settings_mtime_ns(app);
+    app->counters = cnt_set_new();
+    app->start = app_draw_start();
+    app->random_state = app->start;
+    app->peer_address = g_strdup_printf("%s:%" PRId64, app->settings.ip,
+                                        app->settings.peer_port);
+    uv_loop_init(&app->loop);
+    gtw_init(&app->gtw, app->settings.dc, &app_gtw_calls, app, app->counters);
+    app_use_bounds(app);
+    mem_init(&app->mem, app->settings.vm);
+    syn_init(&app->syn, &app_syn_calls, app);
+    app->store = sto_new(app);
+    int rc = pio_new(app, &app->peers);
+    if (rc == RC_OK) {
+        rc = app_listen(app);
+    }
+    if (rc != RC_OK) {
+        return rc;
+    }
+    app_start_timers(app);
+    log_info("app", "started version=%s dc=%s requests=%s store=%s",
+             CH_VERSION, app->settings.dc, app->settings.request_listen,
+             app->settings.store);
+    uv_run(&app->loop, UV_RUN_DEFAULT);
+    app_clear(app);
+    g_free(app);
+    return RC_OK;
+}
--- /dev/null
+++ b/gateway/choose.c
@@ -0,0 +1,174 @@
+#include "common/rc.h"
+#include "gateway/choose.h"
+#include "gateway/share.h"
+
+/* Expected time of a backend server that never answered. */
+#define CHS_DEFAULT_LATENCY_US (5 * 1000)
+/* A request unanswered for this many times the usual latency, and this long,
+ * is the first sign that the backend server has paused. */
+#define CHS_PAUSE_FACTOR 3
+#define CHS_PAUSE_MIN_US (25 * 1000)
+/* Added for a backend server that should only be used when no other can. */
+#define CHS_PENALTY_US (1000 * 1000)
+/* Added for one in another data centre: its bytes cost more. */
+#define CHS_REMOTE_US (500)
+/* An estimate loses half of its weight when unused for this long, so that a
+ * backend server that was slow is tried again. */
+#define CHS_FORGET_US (1500 * 1000)
+/* Replicas whose expected times differ by less are as good as each other. */
+#define CHS_EQUAL_PERMILLE 1500
+#define CHS_EQUAL_US 1000
+#define CHS_CANDIDATES_MAX 16
+#define CHS_SECOND_US (1000 * 1000)
+
+struct chs_candidate {
+    struct bke *backend;
+    int64_t cost_us;
+};
+
+static bool
+chs_is_tried(const struct chs_request *request, const struct bke *backend)
+{
+    for (uint32_t i = 0; i < request->tried_count; i++) {
+        if (request->tried[i] == backend) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+chs_is_cold_limited(const struct chs_request *request,
+                    const struct bke *backend, int64_t now_us)
+{
+    if (request->service->warmup_per_s <= 0 || !bke_is_cold(backend, now_us)) {
+        return false;
+    }
+    if (now_us - backend->cold.second_us >= CHS_SECOND_US) {
+        return false;
+    }
+    uint32_t share = shr_cold_per_s(
+        request->service->warmup_per_s, request->bounds.warmup_overshoot,
+        request->bounds.warmup_slack, request->bounds.vms);
+    return backend->cold.count >= share;
+}
+
+static bool
+chs_has_link(const struct chs_request *request, const struct bke *backend,
+             int64_t now_us)
+{
+    uint32_t share = shr_connections(request->service->connections_max,
+                                     request->bounds.vms);
+    return bke_idle_link(backend, now_us) != NULL ||
+           backend->links->len < share;
+}
+
+/* Expected time of one more request. */
+static int64_t
+chs_cost_us(const struct chs_request *request, const struct bke *backend,
+            int64_t now_us)
+{
+    int64_t latency_us =
+        backend->latency_us > 0 ? backend->latency_us : CHS_DEFAULT_LATENCY_US;
+    int64_t unused_us = now_us - backend->answered_us;
+    if (unused_us > CHS_FORGET_US) {
+        latency_us = latency_us * CHS_FORGET_US / unused_us;
+    }
+    uint32_t slots = MAX(backend->slots, 1);
+    int64_t cost_us =
+        latency_us + latency_us * bke_busy_count(backend) / slots;
+    int64_t oldest_us = bke_oldest_us(backend, now_us);
+    if (oldest_us > CHS_PAUSE_MIN_US &&
+        oldest_us > latency_us * CHS_PAUSE_FACTOR) {
+        cost_us += oldest_us;
+    }
+    if (g_strcmp0(backend->dc, request->dc) != 0) {
+        cost_us += CHS_REMOTE_US;
+    }
+    if (now_us < backend->avoid_us || backend->remove_us > 0) {
+        cost_us += CHS_PENALTY_US;
+    }
+    if (chs_is_tried(request, backend)) {
+        cost_us += CHS_PENALTY_US;
+    }
+    return cost_us;
+}
+
+/* Whether the backend server may get requests, RC_OK or why it may not. */
+static int
+chs_check(const struct chs_request *request, const struct bke *backend,
+          int64_t now_us)
+{
+    if (backend->is_draining ||
+        g_hash_table_contains(request->drained_dcs, backend->dc)) {
+        return RC_ZONE_OUT;
+    }
+    if (backend->wrong_id_us > 0 ||
+        (request->is_strict && chs_is_tried(request, backend))) {
+        return RC_NO_SEARCHER;
+    }
+    if (chs_is_cold_limited(request, backend, now_us) ||
+        !chs_has_link(request, backend, now_us)) {
+        return RC_LIMIT;
+    }
+    return RC_OK;
+}
+
+static struct bke *
+chs_pick(const struct chs_candidate *candidates, uint32_t count, double random)
+{
+    int64_t best_us = INT64_MAX;
+    for (uint32_t i = 0; i < count; i++) {
+        best_us = MIN(best_us, candidates[i].cost_us);
+    }
+    int64_t limit_us = best_us * CHS_EQUAL_PERMILLE / 1000 + CHS_EQUAL_US;
+    uint32_t equal[CHS_CANDIDATES_MAX];
+    uint32_t equal_count = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (candidates[i].cost_us <= limit_us) {
+            equal[equal_count] = i;
+            equal_count += 1;
+        }
+    }
+    uint32_t chosen = (uint32_t)(random * equal_count);
+    return candidates[equal[MIN(chosen, equal_count - 1)]].backend;
+}
+
+int
+chs_choose(const struct bke_set *set, const struct chs_request *request,
+           int64_t now_us, struct bke **out)
+{
+    const GPtrArray *all = bke_of(set, request->service->name);
+    struct chs_candidate candidates[CHS_CANDIDATES_MAX];
+    uint32_t count = 0;
+    int rc = RC_NO_SEARCHER;
+    for (guint i = 0; all != NULL && i < all->len; i++) {
+        struct bke *backend = g_ptr_array_index(all, i);
+        int checked = chs_check(request, backend, now_us);
+        if (checked != RC_OK) {
+            rc = rc == RC_LIMIT || checked == RC_NO_SEARCHER ? rc : checked;
+            continue;
+        }
+        if (count < CHS_CANDIDATES_MAX) {
+            candidates[count] = (struct chs_candidate){
+                .backend = backend,
+                .cost_us = chs_cost_us(request, backend, now_us),
+            };
+            count += 1;
+        }
+    }
+    if (count == 0) {
+        return rc;
+    }
+    *out = chs_pick(candidates, count, request->random);
+    return RC_OK;
+}
+
+void
+chs_on_send(struct bke *backend, int64_t now_us)
+{
+    if (now_us - backend->cold.second_us >= CHS_SECOND_US) {
+        backend->cold = (struct bke_cold){.second_us = now_us};
+    }
+    backend->cold.count += 1;
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,362 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/ask.h"
+#include "gateway/record.h"
+#include "gateway/share.h"
+
+/* State of smooth weighted round robin over a route's targets. */
+struct spl {
+    int64_t *current;
+    guint count;
+};
+
+static void
+spl_free(gpointer data)
+{
+    struct spl *split = data;
+    g_free(split->current);
+    g_free(split);
+}
+
+void
+gtw_init(struct gtw *gtw, const char *dc, const struct gtw_calls *calls,
+         void *ctx, struct cnt_set *counters)
+{
+    *gtw = (struct gtw){
+        .calls = calls,
+        .ctx = ctx,
+        .counters = counters,
+        .dc = g_strdup(dc),
+        .vms = 1,
+        .drained_dcs =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .hedges =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        .budgets =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        .splits =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, spl_free),
+    };
+    g_queue_init(&gtw->asks);
+    bke_set_init(&gtw->backends, &calls->link, ctx);
+}
+
+void
+gtw_clear(struct gtw *gtw)
+{
+    while (!g_queue_is_empty(&gtw->asks)) {
+        ask_close(gtw->asks.head->data, 0, 0);
+    }
+    bke_set_clear(&gtw->backends);
+    gcf_unref(gtw->config);
+    g_hash_table_destroy(gtw->drained_dcs);
+    g_hash_table_destroy(gtw->hedges);
+    g_hash_table_destroy(gtw->budgets);
+    g_hash_table_destroy(gtw->splits);
+    g_free(gtw->dc);
+}
+
+int
+gtw_adopt(struct gtw *gtw, struct gcf *config)
+{
+    if (gtw->config != NULL && config->version <= gtw->config->version) {
+        gcf_unref(config);
+        return RC_STALE;
+    }
+    log_info("config",
+             "in force version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+             " routes=%u services=%u",
+             config->version, gtw->config != NULL ? gtw->config->version : 0,
+             g_hash_table_size(config->routes),
+             g_hash_table_size(config->services));
+    gcf_unref(gtw->config);
+    gtw->config = config;
+    return RC_OK;
+}
+
+struct hdg *
+gtw_hedge(struct gtw *gtw, const struct gcf_route *route)
+{
+    struct hdg *hedge = g_hash_table_lookup(gtw->hedges, route->name);
+    if (hedge == NULL) {
+        hedge = g_new0(struct hdg, 1);
+        hdg_init(hedge, gtw->bounds.extra_permille);
+        g_hash_table_insert(gtw->hedges, g_strdup(route->name), hedge);
+    }
+    return hedge;
+}
+
+struct bgt *
+gtw_budget(struct gtw *gtw, const struct gcf_service *service)
+{
+    struct bgt *budget = g_hash_table_lookup(gtw->budgets, service->name);
+    uint32_t share = shr_extra_sends(gtw->bounds.extra_count, gtw->vms);
+    if (budget == NULL) {
+        budget = g_new0(struct bgt, 1);
+        bgt_init_full(budget, gtw->bounds.extra_permille, share);
+        g_hash_table_insert(gtw->budgets, g_strdup(service->name), budget);
+    }
+    bgt_set_max(budget, share);
+    return budget;
+}
+
+const struct gcf_target *
+gtw_split(struct gtw *gtw, const struct gcf_route *route)
+{
+    guint count = route->targets->len;
+    struct gcf_target *targets = (struct gcf_target *)route->targets->data;
+    if (count == 1) {
+        return targets;
+    }
+    struct spl *split = g_hash_table_lookup(gtw->splits, route->name);
+    if (split == NULL || split->count != count) {
+        split = g_new0(struct spl, 1);
+        split->count = count;
+        split->current = g_new0(int64_t, count);
+        g_hash_table_replace(gtw->splits, g_strdup(route->name), split);
+    }
+    int64_t total = 0;
+    guint best = 0;
+    for (guint i = 0; i < count; i++) {
+        split->current[i] += targets[i].weight;
+        total += targets[i].weight;
+        if (split->current[i] > split->current[best]) {
+            best = i;
+        }
+    }
+    split->current[best] -= total;
+    return &targets[best];
+}
+
+static struct ask *
+ask_new(struct gtw *gtw, const struct gcf_route *route,
+        const struct ask_request *request, int64_t now_us)
+{
+    struct ask *ask = g_new0(struct ask, 1);
+    gtw->ask_serial += 1;
+    ask->gtw = gtw;
+    ask->request = *request;
+    ask->serial = gtw->ask_serial;
+    ask->config = gcf_ref(gtw->config);
+    ask->route = route;
+    ask->started_us = now_us;
+    ask->deadline_us = MIN(request->deadline_us, now_us + route->timeout_us);
+    ask->due_us = ask->deadline_us;
+    ask->part_count = route->is_gather ? route->targets->len : 1;
+    ask->parts = g_new0(struct prt, ask->part_count);
+    const struct gcf_target *targets =
+        route->is_gather ? (struct gcf_target *)route->targets->data
+                         : gtw_split(gtw, route);
+    for (uint32_t i = 0; i < ask->part_count; i++) {
+        ask->parts[i].ask = ask;
+        ask->parts[i].service = targets[i].service;
+    }
+    if (route->is_gather) {
+        ask->records = g_byte_array_new();
+    }
+    ask->link.data = ask;
+    g_queue_push_tail_link(&gtw->asks, &ask->link);
+    return ask;
+}
+
+/* Answers a request that has no route. */
+static void
+gtw_refuse(struct gtw *gtw, const struct ask_request *request, int rc)
+{
+    cnt_add(gtw->counters, "gateway_answers", rc_name(rc));
+    log_sample("request",
+               "refused id=%s rc=%s host=%s target=%s config=%" G_GINT64_FORMAT
+               " stale=%d",
+               request->id, rc_name(rc), request->host, request->target,
+               gtw->config != NULL ? gtw->config->version : 0,
+               gtw->is_config_stale);
+    struct ask_answer answer = {
+        .rc = rc,
+        .retry_after_us = GTW_NO_CONFIG_RETRY_US,
+    };
+    gtw->calls->answer(request->ctx, &answer, gtw->ctx);
+}
+
+struct ask *
+gtw_ask(struct gtw *gtw, const struct ask_request *request, int64_t now_us)
+{
+    if (gtw->config == NULL) {
+        gtw_refuse(gtw, request, RC_NOT_READY);
+        return NULL;
+    }
+    const struct gcf_route *route =
+        gcf_find_route(gtw->config, request->host, request->target);
+    if (route == NULL) {
+        gtw_refuse(gtw, request,
+                   gtw->is_config_stale ? RC_NOT_READY : RC_NO_ROUTE);
+        return NULL;
+    }
+    if (request->body_bytes > gtw->config->limits.body_max_bytes) {
+        gtw_refuse(gtw, request, RC_TOO_LARGE);
+        return NULL;
+    }
+    struct ask *ask = ask_new(gtw, route, request, now_us);
+    ask_hold(ask);
+    for (uint32_t i = 0; i < ask->part_count; i++) {
+        prt_start(&ask->parts[i], now_us);
+    }
+    ask->due_us = now_us;
+    ask_settle(ask, now_us);
+    bool is_closed = ask->is_closed;
+    ask_release(ask);
+    return is_closed ? NULL : ask;
+}
+
+/* Brings a request's next step up to date after one of its parts changed. */
+static void
+gtw_step(struct ask *ask, int64_t now_us)
+{
+    ask->due_us = MIN(ask->due_us, now_us);
+    ask_settle(ask, now_us);
+}
+
+void
+gtw_on_connected(struct gtw *gtw, struct bke_link *link, int rc,
+                 int64_t now_us)
+{
+    struct att *att = link->attempt;
+    if (rc != RC_OK) {
+        gtw_on_lost(gtw, link, rc, now_us);
+        return;
+    }
+    if (att == NULL) {
+        bke_give_link(link, BKE_IDLE_MAX_US, now_us);
+        return;
+    }
+    struct ask *ask = att->part->ask;
+    ask_hold(ask);
+    prt_on_connected(att, now_us);
+    gtw_step(ask, now_us);
+    ask_release(ask);
+}
+
+/* Gives back or closes the link of an answered request. */
+static void
+gtw_end_link(struct gtw *gtw, struct bke_link *link,
+             const struct att_answer *answer, int64_t now_us)
+{
+    struct bke *backend = link->backend;
+    bool is_usable =
+        answer->is_reusable && !backend->is_draining && !backend->is_removed;
+    if (is_usable) {
+        bke_give_link(link, answer->keepalive_us, now_us);
+    }
+    else {
+        bke_drop_link(&gtw->backends, link);
+    }
+}
+
+/* Notes what an answer says of the backend server itself. */
+static void
+gtw_note_answer(struct bke_link *link, const struct att_answer *answer,
+                int64_t now_us)
+{
+    struct bke *backend = link->backend;
+    if (answer->warmup_us >= 0) {
+        backend->warm_us = now_us + answer->warmup_us;
+    }
+    if (answer->rc == RC_OK) {
+        bke_on_answer(backend, now_us - link->since_us, now_us);
+    }
+}
+
+void
+gtw_on_answer(struct gtw *gtw, struct bke_link *link,
+              const struct att_answer *answer, int64_t now_us)
+{
+    struct att *att = link->attempt;
+    gtw_note_answer(link, answer, now_us);
+    gtw_end_link(gtw, link, answer, now_us);
+    if (att == NULL) {
+        return;
+    }
+    struct prt *part = att->part;
+    struct ask *ask = part->ask;
+    ask_hold(ask);
+    if (answer->rc != RC_OK) {
+        prt_on_failure(att, answer->rc, now_us);
+        if (part->state == PRT_FAILED && answer->rc == RC_BACKEND_ERROR &&
+            !ask->route->is_gather) {
+            ask_answer_single(ask, answer, now_us);
+            ask_release(ask);
+            return;
+        }
+    }
+    else {
+        prt_on_success(att, answer, now_us);
+        if (!ask->route->is_gather) {
+            ask_answer_single(ask, answer, now_us);
+            ask_release(ask);
+            return;
+        }
+        rec_add(ask->records, answer->body, answer->body_bytes);
+    }
+    gtw_step(ask, now_us);
+    ask_release(ask);
+}
+
+void
+gtw_on_lost(struct gtw *gtw, struct bke_link *link, int rc, int64_t now_us)
+{
+    struct att *att = link->attempt;
+    struct bke *backend = bke_ref(link->backend);
+    bke_drop_link(&gtw->backends, link);
+    if (att == NULL) {
+        bke_unref(backend);
+        return;
+    }
+    cnt_add(gtw->counters, "gateway_links_lost", rc_name(rc));
+    bke_unref(backend);
+    struct ask *ask = att->part->ask;
+    ask_hold(ask);
+    prt_on_failure(att, rc, now_us);
+    gtw_step(ask, now_us);
+    ask_release(ask);
+}
+
+void
+gtw_tick(struct gtw *gtw, int64_t now_us)
+{
+    uint64_t last = gtw->ask_serial;
+    GList *item = gtw->asks.head;
+    while (item != NULL) {
+        struct ask *ask = item->data;
+        /* Only this request can end in this step. */
+        item = item->next;
+        if (ask->serial <= last && now_us >= ask->due_us) {
+            ask_tick(ask, now_us);
+        }
+    }
+}
+
+int64_t
+gtw_due_us(const struct gtw *gtw)
+{
+    int64_t due_us = INT64_MAX;
+    for (const GList *item = gtw->asks.head; item != NULL; item = item->next) {
+        const struct ask *ask = item->data;
+        due_us = MIN(due_us, ask->due_us);
+    }
+    return due_us;
+}
+
+void
+gtw_end_all(struct gtw *gtw, int64_t now_us)
+{
+    while (!g_queue_is_empty(&gtw->asks)) {
+        struct ask *ask = gtw->asks.head->data;
+        bool may_have_run = false;
+        for (uint32_t i = 0; i < ask->part_count; i++) {
+            may_have_run = may_have_run || prt_may_have_run(&ask->parts[i]);
+        }
+        ask_refuse(ask, may_have_run ? RC_OUTCOME_UNKNOWN : RC_STOPPING,
+                   now_us);
+    }
+}
--- /dev/null
+++ b/gateway/news.c
@@ -0,0 +1,100 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/news.h"
+
+static const char *const nws_paths[MEM_KIND_COUNT] = {
+    [MEM_CONFIG] = "/v1/news/config",
+    [MEM_BACKENDS] = "/v1/news/backends",
+    [MEM_DRAINED_DCS] = "/v1/news/drained",
+};
+
+char *
+nws_path(enum mem_kind kind)
+{
+    return g_strdup(nws_paths[kind]);
+}
+
+enum mem_kind
+nws_kind(const char *path)
+{
+    int kind = 0;
+    while (kind < MEM_KIND_COUNT && strcmp(nws_paths[kind], path) != 0) {
+        kind += 1;
+    }
+    return kind;
+}
+
+char *
+nws_write(const struct syn *syn, enum mem_kind kind)
+{
+    int64_t changes[MEM_KIND_COUNT];
+    syn_changes(syn, changes);
+    json_t *objects = json_array();
+    GHashTableIter iter;
+    gpointer name = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, (GHashTable *)syn_known(syn, kind));
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const struct syn_known *known = value;
+        json_array_append_new(
+            objects,
+            json_pack("{s:s,s:I,s:O?}", "name", (const char *)name, "revision",
+                      (json_int_t)known->revision, "spec", known->spec));
+    }
+    json_t *root = json_pack("{s:I,s:o}", "change", (json_int_t)changes[kind],
+                             "objects", objects);
+    char *text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    char *body = g_strdup(text);
+    free(text);
+    return body;
+}
+
+static bool
+nws_read_object(json_t *json, struct syn_object *out)
+{
+    json_t *revision = json_object_get(json, "revision");
+    *out = (struct syn_object){
+        .name = json_string_value(json_object_get(json, "name")),
+        .revision = json_integer_value(revision),
+        .spec = json_object_get(json, "spec"),
+    };
+    return out->name != NULL && json_is_integer(revision);
+}
+
+void
+nws_read(int status, const char *body, size_t body_bytes,
+         struct wir_objects *out)
+{
+    *out = (struct wir_objects){.reply = {.rc = RC_BAD_REPLY}};
+    if (status != 200) {
+        return;
+    }
+    out->root = json_loadb(body, body_bytes, 0, NULL);
+    json_t *change = json_object_get(out->root, "change");
+    json_t *objects = json_object_get(out->root, "objects");
+    if (!json_is_integer(change) || !json_is_array(objects)) {
+        log_warn("news", "unreadable list of a peer bytes=%zu", body_bytes);
+        return;
+    }
+    out->objects = g_array_new(FALSE, FALSE, sizeof(struct syn_object));
+    size_t i = 0;
+    json_t *item = NULL;
+    json_array_foreach(objects, i, item)
+    {
+        struct syn_object object;
+        if (!nws_read_object(item, &object)) {
+            log_warn("news", "unreadable object of a peer");
+            return;
+        }
+        g_array_append_val(out->objects, object);
+    }
+    out->reply = (struct syn_reply){
+        .rc = RC_OK,
+        .objects = (const struct syn_object *)out->objects->data,
+        .object_count = out->objects->len,
+        .current_revision = json_integer_value(change),
+    };
+}
--- /dev/null
+++ b/gateway/part.c
@@ -0,0 +1,403 @@
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/ask.h"
+
+/* A part that found no usable backend server looks again after this time. */
+#define PRT_RETRY_US (4 * 1000)
+/* An attempt unanswered for this long counts as a failure of the backend
+ * server: longer than its usual pauses. */
+#define PRT_OVERDUE_US (250 * 1000)
+/* A link of a request that has its answer is kept this long for reuse. */
+#define PRT_KEEP_US (1000 * 1000)
+/* Extra sends that hedges leave for retries. */
+#define PRT_RETRY_RESERVE 1
+
+static struct att *
+prt_attempt_of(struct prt *part, uint32_t i)
+{
+    return &part->attempts[i];
+}
+
+static bool
+prt_is_waiting(const struct prt *part)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        if (part->attempts[i].link != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Attempts that ran or may have run. */
+static uint32_t
+prt_run_count(const struct prt *part)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        const struct att *att = &part->attempts[i];
+        count += (att->is_sent || att->link != NULL) && !att->has_not_run;
+    }
+    return count;
+}
+
+bool
+prt_may_have_run(const struct prt *part)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        const struct att *att = &part->attempts[i];
+        if (att->is_sent && !att->has_not_run) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+prt_was_sent(const struct prt *part)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        if (part->attempts[i].is_sent) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether another attempt is within the limits of the route. */
+static bool
+prt_may_try(const struct prt *part)
+{
+    const struct gcf_route *route = part->ask->route;
+    if (part->attempt_count >= PRT_ATTEMPTS_MAX) {
+        return false;
+    }
+    if (!route->is_idempotent) {
+        return prt_run_count(part) == 0;
+    }
+    return prt_run_count(part) < MAX(route->attempts_max, 1);
+}
+
+static int
+prt_choose(struct prt *part, bool is_strict, int64_t now_us, struct bke **out)
+{
+    struct gtw *gtw = part->ask->gtw;
+    struct chs_request request = {
+        .service = part->service,
+        .dc = gtw->dc,
+        .drained_dcs = gtw->drained_dcs,
+        .bounds = {.vms = gtw->vms,
+                   .warmup_overshoot = gtw->bounds.warmup_overshoot,
+                   .warmup_slack = gtw->bounds.warmup_slack},
+        .tried_count = part->attempt_count,
+        .is_strict = is_strict,
+        .random = gtw->calls->random(gtw->ctx),
+    };
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        request.tried[i] = part->attempts[i].backend;
+    }
+    return chs_choose(&gtw->backends, &request, now_us, out);
+}
+
+/* Hands the request to the attempt's link. Returns RC_OK or why not. */
+static int
+prt_send(struct att *att, int64_t now_us)
+{
+    struct ask *ask = att->part->ask;
+    struct gtw *gtw = ask->gtw;
+    bke_take_link(att->link, att, now_us);
+    int rc = gtw->calls->send(att->link, &ask->request,
+                              ask->deadline_us - now_us, gtw->ctx);
+    if (rc != RC_OK) {
+        return rc;
+    }
+    att->is_sent = true;
+    ask->send_count += 1;
+    chs_on_send(att->backend, now_us);
+    return RC_OK;
+}
+
+static void
+prt_drop_link(struct att *att)
+{
+    struct bke_link *link = att->link;
+    att->link = NULL;
+    if (link != NULL) {
+        bke_drop_link(&att->part->ask->gtw->backends, link);
+    }
+}
+
+static bool
+prt_attempt(struct prt *part, struct bke *backend, bool is_hedge,
+            int64_t now_us)
+{
+    struct gtw *gtw = part->ask->gtw;
+    struct att *att = prt_attempt_of(part, part->attempt_count);
+    *att = (struct att){
+        .part = part,
+        .backend = bke_ref(backend),
+        .started_us = now_us,
+        .is_hedge = is_hedge,
+    };
+    part->attempt_count += 1;
+    att->link = bke_idle_link(backend, now_us);
+    if (att->link == NULL) {
+        att->link = bke_open_link(&gtw->backends, backend, att, now_us);
+        return att->link != NULL;
+    }
+    if (prt_send(att, now_us) != RC_OK) {
+        prt_drop_link(att);
+        return false;
+    }
+    return true;
+}
+
+static void
+prt_fail(struct prt *part, int rc)
+{
+    part->state = PRT_FAILED;
+    part->rc = rc;
+    part->ask->failed_count += 1;
+}
+
+/* Tries backend servers until one takes the request. */
+static void
+prt_try(struct prt *part, int64_t now_us)
+{
+    int rc = part->rc;
+    while (prt_may_try(part)) {
+        struct bke *backend = NULL;
+        rc = prt_choose(part, !part->ask->route->is_idempotent, now_us,
+                        &backend);
+        if (rc == RC_LIMIT) {
+            part->retry_us = now_us + PRT_RETRY_US;
+            part->rc = rc;
+            return;
+        }
+        if (rc != RC_OK) {
+            break;
+        }
+        if (prt_attempt(part, backend, false, now_us)) {
+            part->retry_us = 0;
+            return;
+        }
+        bke_on_failure(backend, now_us);
+        rc = RC_LINK_FAILED;
+    }
+    part->retry_us = 0;
+    if (!prt_is_waiting(part)) {
+        prt_fail(part, rc);
+    }
+}
+
+void
+prt_start(struct prt *part, int64_t now_us)
+{
+    struct gtw *gtw = part->ask->gtw;
+    bgt_earn(gtw_budget(gtw, part->service));
+    prt_try(part, now_us);
+}
+
+/* Sends to a second replica while the first one may still answer. */
+static void
+prt_hedge(struct prt *part, int64_t now_us)
+{
+    struct gtw *gtw = part->ask->gtw;
+    struct bgt *budget = gtw_budget(gtw, part->service);
+    struct bke *backend = NULL;
+    if (prt_choose(part, true, now_us, &backend) != RC_OK) {
+        part->is_hedge_refused = true;
+        cnt_add(gtw->counters, "gateway_hedges_refused", "no_backend");
+        return;
+    }
+    bool is_extra = prt_was_sent(part);
+    if (is_extra && (budget->millitokens < (PRT_RETRY_RESERVE + 1) * 1000U ||
+                     !bgt_spend(budget))) {
+        part->is_hedge_refused = true;
+        cnt_add(gtw->counters, "gateway_hedges_refused", "budget");
+        return;
+    }
+    if (prt_attempt(part, backend, true, now_us)) {
+        part->ask->hedge_count += 1;
+        cnt_add(gtw->counters, "gateway_hedges", NULL);
+    }
+    else {
+        bke_on_failure(backend, now_us);
+    }
+}
+
+/* When the part is hedged, INT64_MAX for never. */
+static int64_t
+prt_hedge_us(const struct prt *part)
+{
+    const struct ask *ask = part->ask;
+    if (!ask->route->is_idempotent || part->is_hedge_refused ||
+        part->attempt_count == 0 || !prt_may_try(part)) {
+        return INT64_MAX;
+    }
+    const struct att *last = &part->attempts[part->attempt_count - 1];
+    if (last->link == NULL) {
+        return INT64_MAX;
+    }
+    struct hdg *hedge = gtw_hedge(ask->gtw, ask->route);
+    int64_t budget_us = ask->route->objective_us > 0
+                            ? ask->route->objective_us
+                            : ask->deadline_us - ask->started_us;
+    return last->started_us + hdg_delay_us(hedge, budget_us);
+}
+
+/* Notes attempts without an answer; returns when the next one is due. */
+static int64_t
+prt_note_overdue(struct prt *part, int64_t now_us)
+{
+    int64_t due_us = INT64_MAX;
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        struct att *att = prt_attempt_of(part, i);
+        if (att->link == NULL || att->is_overdue) {
+            continue;
+        }
+        int64_t overdue_us = att->started_us +
+                             MAX(PRT_OVERDUE_US, att->backend->latency_us * 4);
+        if (now_us < overdue_us) {
+            due_us = MIN(due_us, overdue_us);
+            continue;
+        }
+        att->is_overdue = true;
+        bke_on_failure(att->backend, now_us);
+    }
+    return due_us;
+}
+
+/* Connections that are not up in time are given up. */
+static void
+prt_end_connecting(struct prt *part, int64_t now_us)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        struct att *att = prt_attempt_of(part, i);
+        if (att->link != NULL && att->link->state == BKE_CONNECTING &&
+            now_us - att->started_us >= BKE_CONNECT_MAX_US) {
+            prt_drop_link(att);
+            prt_on_failure(att, RC_LINK_FAILED, now_us);
+        }
+    }
+}
+
+int64_t
+prt_tick(struct prt *part, int64_t now_us)
+{
+    if (part->state != PRT_OPEN) {
+        return INT64_MAX;
+    }
+    prt_end_connecting(part, now_us);
+    if (part->state == PRT_OPEN && part->retry_us > 0 &&
+        now_us >= part->retry_us) {
+        prt_try(part, now_us);
+    }
+    if (part->state == PRT_OPEN && now_us >= prt_hedge_us(part)) {
+        prt_hedge(part, now_us);
+    }
+    if (part->state != PRT_OPEN) {
+        return INT64_MAX;
+    }
+    int64_t due_us = prt_note_overdue(part, now_us);
+    due_us = MIN(due_us, prt_hedge_us(part));
+    if (part->retry_us > 0) {
+        due_us = MIN(due_us, part->retry_us);
+    }
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        const struct att *att = prt_attempt_of(part, i);
+        if (att->link != NULL && att->link->state == BKE_CONNECTING) {
+            due_us = MIN(due_us, att->started_us + BKE_CONNECT_MAX_US);
+        }
+    }
+    return due_us;
+}
+
+void
+prt_on_connected(struct att *att, int64_t now_us)
+{
+    if (prt_send(att, now_us) != RC_OK) {
+        prt_drop_link(att);
+        prt_on_failure(att, RC_LINK_FAILED, now_us);
+    }
+}
+
+/* Whether a request that failed may be sent to another backend server now. */
+static bool
+prt_may_retry(struct prt *part, const struct att *att)
+{
+    struct gtw *gtw = part->ask->gtw;
+    if (!prt_may_try(part)) {
+        return false;
+    }
+    /* What never arrived costs no extra send. */
+    if (!att->is_sent) {
+        return true;
+    }
+    if (!bgt_spend(gtw_budget(gtw, part->service))) {
+        cnt_add(gtw->counters, "gateway_retries_refused", "budget");
+        return false;
+    }
+    part->ask->retry_count += 1;
+    return true;
+}
+
+void
+prt_on_failure(struct att *att, int rc, int64_t now_us)
+{
+    struct prt *part = att->part;
+    struct gtw *gtw = part->ask->gtw;
+    att->link = NULL;
+    att->has_not_run = att->is_sent && rc_run(rc) == RC_RUN_NO;
+    part->rc = rc;
+    if (rc == RC_SHED) {
+        bke_on_shed(att->backend, now_us);
+    }
+    else if (rc == RC_WRONG_BACKEND) {
+        bke_on_wrong_id(att->backend, now_us);
+    }
+    else {
+        bke_on_failure(att->backend, now_us);
+    }
+    if (part->state != PRT_OPEN || prt_is_waiting(part)) {
+        return;
+    }
+    if (prt_may_retry(part, att)) {
+        cnt_add(gtw->counters, "gateway_retries", rc_name(rc));
+        prt_try(part, now_us);
+    }
+    else {
+        prt_fail(part, rc);
+    }
+}
+
+void
+prt_on_success(struct att *att, const struct att_answer *answer,
+               int64_t now_us)
+{
+    struct prt *part = att->part;
+    struct ask *ask = part->ask;
+    att->link = NULL;
+    part->state = PRT_DONE;
+    part->stamp = g_strdup(answer->stamp);
+    ask->done_count += 1;
+    hdg_note(gtw_hedge(ask->gtw, ask->route),
+             now_us - part->attempts[0].started_us);
+    prt_abandon(part, PRT_KEEP_US, now_us);
+}
+
+void
+prt_abandon(struct prt *part, int64_t keep_us, int64_t now_us)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        struct att *att = prt_attempt_of(part, i);
+        struct bke_link *link = att->link;
+        att->link = NULL;
+        if (link == NULL) {
+            continue;
+        }
+        /* A new connection that nothing was sent on is kept for later. */
+        bke_abandon_link(link, now_us + keep_us);
+    }
+    part->retry_us = 0;
+}
--- /dev/null
+++ b/gateway/share.c
@@ -0,0 +1,31 @@
+#include <glib.h>
+
+#include "gateway/share.h"
+
+/* A tenth of the connections is left for those that the peer has not yet seen
+ * closed. */
+#define SHR_CONNECTIONS_PERMILLE 900
+/* A VM that restarts starts with a full budget, so that within one window it
+ * can spend its share twice. */
+#define SHR_RESTARTS 2
+
+uint32_t
+shr_connections(uint32_t max, uint32_t vms)
+{
+    uint32_t usable =
+        (uint32_t)((uint64_t)max * SHR_CONNECTIONS_PERMILLE / 1000);
+    return MAX(usable / MAX(vms, 1), 1);
+}
+
+uint32_t
+shr_cold_per_s(double per_s, double overshoot, uint32_t slack, uint32_t vms)
+{
+    double bound = per_s * overshoot + slack;
+    return (uint32_t)(bound / MAX(vms, 1));
+}
+
+uint32_t
+shr_extra_sends(uint32_t extra, uint32_t vms)
+{
+    return extra / (MAX(vms, 1) * SHR_RESTARTS);
+}
--- /dev/null
+++ b/gateway/store_io.c
@@ -0,0 +1,325 @@
+#include <string.h>
+
+#include "common/http_client.h"
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/app.h"
+
+/* Calls to the platform's store: one connection for each kind that is
+ * followed, one for the VMs' own objects. */
+
+#define STO_BODY_MAX_BYTES (16 * 1024 * 1024)
+/* How often the list of VMs is read; stale reads cost a tenth. */
+#define STO_VMS_IVL_US (10LL * 1000 * 1000)
+#define STO_RETRY_US (1000 * 1000)
+#define STO_TIMEOUT_US (2000 * 1000)
+
+/* A followed kind and its connection. */
+struct sto_feed {
+    struct app *app;
+    struct hcl_conn *conn;
+    bool is_up;
+    struct syn_fetch fetch;
+    char *path;
+};
+
+enum sto_step {
+    STO_CREATE,
+    STO_REPLACE,
+    STO_LIST,
+    STO_DELETE,
+};
+
+/* The call on the VMs' own objects that is under way. */
+struct sto_vms {
+    struct app *app;
+    struct hcl_conn *conn;
+    enum sto_step step;
+    bool is_in_flight;
+    bool is_written;
+    int64_t due_us;
+    int64_t sent_us;
+};
+
+struct sto {
+    struct app *app;
+    struct sto_feed feeds[MEM_KIND_COUNT];
+    struct sto_vms vms;
+};
+
+static void
+sto_close(struct hcl_conn **conn)
+{
+    hcl_close(*conn);
+    *conn = NULL;
+}
+
+static void
+sto_feed_fail(struct sto_feed *feed, int rc)
+{
+    sto_close(&feed->conn);
+    feed->is_up = false;
+    struct syn_reply reply = {.rc = rc};
+    syn_on_reply(&feed->app->syn, &feed->fetch, &reply, app_now_us());
+}
+
+static void
+sto_on_reply(struct hcl_conn *conn, const struct hcl_response *response,
+             void *ctx)
+{
+    struct sto_feed *feed = ctx;
+    struct app *app = feed->app;
+    if (response->rc != RC_OK) {
+        sto_feed_fail(feed, RC_STORE_DOWN);
+        return;
+    }
+    struct wir_objects objects;
+    app->wire->read_objects(feed->fetch.is_watch, response->status,
+                            response->body, response->body_bytes, &objects);
+    bool is_refused = objects.reply.rc == RC_STORE_DOWN;
+    if (is_refused) {
+        log_warn("store", "refused status=%d path=%s", response->status,
+                 feed->path);
+    }
+    if (!response->is_keepalive || is_refused) {
+        sto_close(&feed->conn);
+        feed->is_up = false;
+    }
+    syn_on_reply(&app->syn, &feed->fetch, &objects.reply, app_now_us());
+    wir_objects_clear(&objects);
+}
+
+static void
+sto_feed_send(struct sto_feed *feed)
+{
+    cnt_add(feed->app->counters, "gateway_store_calls",
+            feed->fetch.is_watch ? "watch" : "list");
+    int rc = hcl_request(feed->conn, "GET", feed->path, NULL, NULL, 0,
+                         sto_on_reply, feed);
+    if (rc != RC_OK) {
+        sto_feed_fail(feed, RC_STORE_DOWN);
+    }
+}
+
+static void
+sto_on_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    struct sto_feed *feed = ctx;
+    if (rc != RC_OK) {
+        sto_feed_fail(feed, RC_STORE_DOWN);
+        return;
+    }
+    feed->is_up = true;
+    sto_feed_send(feed);
+}
+
+static void
+sto_on_lost(struct hcl_conn *conn, void *ctx)
+{
+    struct sto_feed *feed = ctx;
+    sto_close(&feed->conn);
+    feed->is_up = false;
+}
+
+void
+sto_fetch(struct sto *store, const struct syn_fetch *fetch)
+{
+    struct sto_feed *feed = &store->feeds[fetch->kind];
+    struct app *app = store->app;
+    g_free(feed->path);
+    feed->path = app->wire->fetch_path(fetch);
+    feed->fetch = *fetch;
+    feed->fetch.after = NULL;
+    if (feed->is_up) {
+        int rc = hcl_request(feed->conn, "GET", feed->path, NULL, NULL, 0,
+                             sto_on_reply, feed);
+        if (rc == RC_OK) {
+            cnt_add(app->counters, "gateway_store_calls",
+                    fetch->is_watch ? "watch" : "list");
+            return;
+        }
+    }
+    /* An earlier call that was not answered still has the connection. */
+    sto_close(&feed->conn);
+    feed->is_up = false;
+    if (hcl_connect(&app->loop, app->settings.store, STO_BODY_MAX_BYTES,
+                    sto_on_connected, sto_on_lost, feed,
+                    &feed->conn) != RC_OK) {
+        feed->conn = NULL;
+        log_warn("store", "cannot connect address=%s", app->settings.store);
+    }
+}
+
+static void
+sto_vms_done(struct sto_vms *vms, int64_t delay_us)
+{
+    sto_close(&vms->conn);
+    vms->is_in_flight = false;
+    vms->due_us = app_now_us() + delay_us;
+}
+
+static void
+sto_on_vms_list(struct sto_vms *vms, const struct hcl_response *response)
+{
+    struct app *app = vms->app;
+    struct wir_objects objects;
+    app->wire->read_objects(false, response->status, response->body,
+                            response->body_bytes, &objects);
+    if (objects.reply.rc == RC_OK) {
+        mem_list_begin(&app->mem);
+        for (size_t i = 0; i < objects.reply.object_count; i++) {
+            struct wir_vm vm;
+            if (app->wire->read_vm(&objects.reply.objects[i], &vm) == RC_OK) {
+                mem_list_note(&app->mem, vm.name, vm.peer_address);
+            }
+        }
+        mem_list_end(&app->mem, app_now_us());
+        pio_beat(app->peers);
+    }
+    bool is_good = objects.reply.rc == RC_OK;
+    wir_objects_clear(&objects);
+    sto_vms_done(vms, is_good ? STO_VMS_IVL_US : STO_RETRY_US);
+}
+
+static void
+sto_on_vms_reply(struct hcl_conn *conn, const struct hcl_response *response,
+                 void *ctx)
+{
+    struct sto_vms *vms = ctx;
+    if (response->rc != RC_OK) {
+        sto_vms_done(vms, STO_RETRY_US);
+        return;
+    }
+    int status = response->status;
+    switch (vms->step) {
+    case STO_CREATE:
+        if (status == 409) {
+            vms->step = STO_REPLACE;
+            sto_vms_done(vms, 0);
+            return;
+        }
+        break;
+    case STO_REPLACE:
+        if (status == 404) {
+            vms->step = STO_CREATE;
+            sto_vms_done(vms, 0);
+            return;
+        }
+        break;
+    case STO_LIST:
+        sto_on_vms_list(vms, response);
+        return;
+    case STO_DELETE:
+        sto_vms_done(vms, INT32_MAX);
+        return;
+    }
+    if (status < 200 || status >= 300) {
+        log_warn("store", "own object refused status=%d", status);
+        sto_vms_done(vms, STO_RETRY_US);
+        return;
+    }
+    vms->is_written = true;
+    vms->step = STO_LIST;
+    sto_vms_done(vms, 0);
+}
+
+static void
+sto_on_vms_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    struct sto_vms *vms = ctx;
+    struct app *app = vms->app;
+    if (rc != RC_OK) {
+        sto_vms_done(vms, STO_RETRY_US);
+        return;
+    }
+    static const struct {
+        const char *method;
+        const char *label;
+    } calls[] = {
+        [STO_CREATE] = {"POST", "vm_create"},
+        [STO_REPLACE] = {"PUT", "vm_replace"},
+        [STO_LIST] = {"GET", "vm_list"},
+        [STO_DELETE] = {"DELETE", "vm_delete"},
+    };
+    bool is_one = vms->step == STO_REPLACE || vms->step == STO_DELETE;
+    bool has_body = vms->step == STO_CREATE || vms->step == STO_REPLACE;
+    char *path = app->wire->vms_path(is_one ? app->settings.vm : NULL);
+    struct wir_vm vm = {
+        .name = app->settings.vm,
+        .peer_address = app->peer_address,
+    };
+    char *body = has_body ? app->wire->write_vm(&vm) : NULL;
+    cnt_add(app->counters, "gateway_store_calls", calls[vms->step].label);
+    rc = hcl_request(conn, calls[vms->step].method, path, NULL, body,
+                     body != NULL ? strlen(body) : 0, sto_on_vms_reply, vms);
+    g_free(path);
+    g_free(body);
+    if (rc != RC_OK) {
+        sto_vms_done(vms, STO_RETRY_US);
+    }
+}
+
+static void
+sto_on_vms_lost(struct hcl_conn *conn, void *ctx)
+{
+    sto_vms_done(ctx, STO_RETRY_US);
+}
+
+static void
+sto_vms_start(struct sto_vms *vms, int64_t now_us)
+{
+    struct app *app = vms->app;
+    vms->is_in_flight = true;
+    vms->sent_us = now_us;
+    if (hcl_connect(&app->loop, app->settings.store, STO_BODY_MAX_BYTES,
+                    sto_on_vms_connected, sto_on_vms_lost, vms,
+                    &vms->conn) != RC_OK) {
+        vms->conn = NULL;
+        sto_vms_done(vms, STO_RETRY_US);
+    }
+}
+
+struct sto *
+sto_new(struct app *app)
+{
+    struct sto *store = g_new0(struct sto, 1);
+    store->app = app;
+    store->vms.app = app;
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        store->feeds[i].app = app;
+    }
+    return store;
+}
+
+void
+sto_free(struct sto *store)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        sto_close(&store->feeds[i].conn);
+        g_free(store->feeds[i].path);
+    }
+    sto_close(&store->vms.conn);
+    g_free(store);
+}
+
+void
+sto_tick(struct sto *store, int64_t now_us)
+{
+    struct sto_vms *vms = &store->vms;
+    if (vms->is_in_flight && now_us - vms->sent_us >= STO_TIMEOUT_US) {
+        log_warn("store", "no reply on own object");
+        sto_vms_done(vms, STO_RETRY_US);
+    }
+    if (!vms->is_in_flight && now_us >= vms->due_us) {
+        sto_vms_start(vms, now_us);
+    }
+}
+
+void
+sto_unlist(struct sto *store)
+{
+    struct sto_vms *vms = &store->vms;
+    sto_close(&vms->conn);
+    vms->step = STO_DELETE;
+    sto_vms_start(vms, app_now_us());
+}
--- /dev/null
+++ b/gateway/sync.c
@@ -0,0 +1,335 @@
+#include "gateway/sync.h"
+
+#include "common/log.h"
+#include "common/rc.h"
+#include "gateway/backend.h"
+
+static const char *const syn_names[MEM_KIND_COUNT] = {
+    [MEM_CONFIG] = "config",
+    [MEM_BACKENDS] = "backends",
+    [MEM_DRAINED_DCS] = "drained_dcs",
+};
+
+static void
+syn_known_free(gpointer data)
+{
+    struct syn_known *known = data;
+    json_decref(known->spec);
+    g_free(known);
+}
+
+void
+syn_init(struct syn *syn, const struct syn_calls *calls, void *ctx)
+{
+    *syn = (struct syn){.calls = calls, .ctx = ctx};
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        syn->feeds[i].known = g_hash_table_new_full(g_str_hash, g_str_equal,
+                                                    g_free, syn_known_free);
+        syn->feeds[i].must_list = true;
+    }
+}
+
+static void
+syn_end_list(struct syn_feed *feed)
+{
+    if (feed->listed != NULL) {
+        g_hash_table_destroy(feed->listed);
+        feed->listed = NULL;
+    }
+    g_free(feed->after);
+    feed->after = NULL;
+}
+
+void
+syn_clear(struct syn *syn)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        syn_end_list(&syn->feeds[i]);
+        g_hash_table_destroy(syn->feeds[i].known);
+    }
+}
+
+static void
+syn_fetch(struct syn *syn, enum mem_kind kind, const char *peer,
+          int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    feed->serial += 1;
+    feed->is_in_flight = true;
+    feed->is_from_peer = peer != NULL;
+    feed->sent_us = now_us;
+    if (peer != NULL) {
+        syn_end_list(feed);
+    }
+    bool is_list = feed->must_list || peer != NULL;
+    if (is_list && feed->listed == NULL) {
+        feed->listed =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    struct syn_fetch fetch = {
+        .kind = kind,
+        .is_watch = !is_list,
+        .revision = feed->revision,
+        .wait_ms = is_list ? 0 : SYN_WATCH_WAIT_MS,
+        .after = feed->after,
+        .peer = peer,
+        .serial = feed->serial,
+    };
+    syn->calls->fetch(&fetch, syn->ctx);
+}
+
+static void
+syn_note_failure(struct syn *syn, enum mem_kind kind, int rc, int64_t now_us)
+{
+    if (syn->fail_run == 0) {
+        syn->failing_us = now_us;
+        log_warn("sync", "store failed kind=%s rc=%s", syn_names[kind],
+                 rc_name(rc));
+    }
+    syn->fail_run += 1;
+    int64_t backoff_us = SYN_BACKOFF_MIN_US << MIN(syn->fail_run - 1, 8);
+    int64_t due_us = now_us + MIN(backoff_us, SYN_BACKOFF_MAX_US);
+    /* One call finds out whether the store answers again. */
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        struct syn_feed *feed = &syn->feeds[i];
+        feed->due_us =
+            MAX(feed->due_us,
+                i == (int)kind ? due_us : due_us + SYN_BACKOFF_MAX_US);
+    }
+}
+
+static void
+syn_note_success(struct syn *syn, int64_t now_us)
+{
+    if (syn->fail_run == 0) {
+        return;
+    }
+    int64_t outage_us = now_us - syn->failing_us;
+    log_info("sync",
+             "store answers again after_ms=%" G_GINT64_FORMAT " failures=%u",
+             outage_us / 1000, syn->fail_run);
+    if (outage_us >= SYN_OUTAGE_US) {
+        syn->recovered_us = now_us;
+    }
+    syn->fail_run = 0;
+    syn->failing_us = 0;
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        syn->feeds[i].due_us = now_us;
+    }
+}
+
+/* When a deletion takes effect. */
+static int64_t
+syn_remove_us(const struct syn *syn, int64_t now_us)
+{
+    int64_t remove_us = now_us + BKE_LAPSE_HOLD_US;
+    if (syn->recovered_us > 0) {
+        remove_us = MAX(remove_us, syn->recovered_us + BKE_OUTAGE_HOLD_US);
+    }
+    return remove_us;
+}
+
+static void
+syn_apply(struct syn *syn, enum mem_kind kind, const struct syn_object *object,
+          int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    struct syn_known *known = g_hash_table_lookup(feed->known, object->name);
+    if (object->is_deleted) {
+        if (known == NULL) {
+            return;
+        }
+        g_hash_table_remove(feed->known, object->name);
+    }
+    else {
+        if (known != NULL && known->revision >= object->revision) {
+            return;
+        }
+        known = g_new0(struct syn_known, 1);
+        known->revision = object->revision;
+        known->spec = json_incref(object->spec);
+        g_hash_table_replace(feed->known, g_strdup(object->name), known);
+    }
+    syn->calls->apply(kind, object, syn_remove_us(syn, now_us), now_us,
+                      syn->ctx);
+}
+
+/* Objects that a whole list does not name are gone. */
+static void
+syn_remove_unlisted(struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    GList *names = g_hash_table_get_keys(feed->known);
+    for (GList *item = names; item != NULL; item = item->next) {
+        if (!g_hash_table_contains(feed->listed, item->data)) {
+            char *name = g_strdup(item->data);
+            struct syn_object object = {.name = name, .is_deleted = true};
+            syn_apply(syn, kind, &object, now_us);
+            g_free(name);
+        }
+    }
+    g_list_free(names);
+}
+
+static void
+syn_on_list(struct syn *syn, const struct syn_fetch *fetch,
+            const struct syn_reply *reply, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[fetch->kind];
+    if (reply->has_more && reply->object_count > 0) {
+        g_free(feed->after);
+        feed->after = g_strdup(reply->objects[reply->object_count - 1].name);
+        feed->due_us = now_us;
+        return;
+    }
+    syn_remove_unlisted(syn, fetch->kind, now_us);
+    syn_end_list(feed);
+    feed->has_list = true;
+    if (fetch->peer == NULL) {
+        feed->must_list = false;
+        feed->revision = reply->current_revision;
+    }
+    feed->due_us = now_us + SYN_WATCH_IVL_US;
+}
+
+static void
+syn_on_objects(struct syn *syn, const struct syn_fetch *fetch,
+               const struct syn_reply *reply, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[fetch->kind];
+    bool has_deleted = false;
+    for (size_t i = 0; i < reply->object_count; i++) {
+        const struct syn_object *object = &reply->objects[i];
+        has_deleted = has_deleted || object->is_deleted;
+        if (feed->listed != NULL) {
+            g_hash_table_add(feed->listed, g_strdup(object->name));
+        }
+        feed->change = MAX(feed->change, object->revision);
+        syn_apply(syn, fetch->kind, object, now_us);
+    }
+    if (has_deleted || fetch->peer != NULL) {
+        feed->change = MAX(feed->change, reply->current_revision);
+    }
+}
+
+static void
+syn_on_usable(struct syn *syn, const struct syn_fetch *fetch,
+              const struct syn_reply *reply, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[fetch->kind];
+    syn_on_objects(syn, fetch, reply, now_us);
+    if (!fetch->is_watch) {
+        syn_on_list(syn, fetch, reply, now_us);
+        return;
+    }
+    feed->revision = MAX(feed->revision, reply->current_revision);
+    feed->due_us = now_us + (reply->object_count > 0 ? SYN_WATCH_IVL_US : 0);
+}
+
+void
+syn_on_reply(struct syn *syn, const struct syn_fetch *fetch,
+             const struct syn_reply *reply, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[fetch->kind];
+    if (!feed->is_in_flight || fetch->serial != feed->serial) {
+        return;
+    }
+    feed->is_in_flight = false;
+    if (reply->rc == RC_OK) {
+        if (fetch->peer == NULL) {
+            syn_note_success(syn, now_us);
+        }
+        syn_on_usable(syn, fetch, reply, now_us);
+        return;
+    }
+    syn_end_list(feed);
+    if (fetch->peer != NULL) {
+        feed->due_us = now_us;
+        return;
+    }
+    feed->must_list = feed->must_list || reply->rc == RC_VERSION_GONE;
+    if (reply->rc == RC_VERSION_GONE) {
+        syn_note_success(syn, now_us);
+        feed->due_us = now_us;
+        return;
+    }
+    syn_note_failure(syn, fetch->kind, reply->rc, now_us);
+}
+
+/* Gives up a fetch that was not answered in time. */
+static void
+syn_end_overdue(struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    int64_t wait_us =
+        feed->must_list || feed->is_from_peer ? 0 : SYN_WATCH_WAIT_MS * 1000LL;
+    if (!feed->is_in_flight ||
+        now_us - feed->sent_us < wait_us + SYN_TIMEOUT_US) {
+        return;
+    }
+    struct syn_fetch fetch = {
+        .kind = kind,
+        .peer = feed->is_from_peer ? "" : NULL,
+        .serial = feed->serial,
+    };
+    syn_on_reply(syn, &fetch, &(struct syn_reply){.rc = RC_STORE_DOWN},
+                 now_us);
+}
+
+/* Asks a peer that has had newer news for a while. */
+static bool
+syn_ask_peer(struct syn *syn, enum mem_kind kind, const struct mem *mem,
+             int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    if (now_us < feed->peer_due_us || feed->is_from_peer) {
+        return false;
+    }
+    const struct mem_vm *vm = mem_ahead(mem, kind, feed->change, now_us);
+    if (vm == NULL || vm->peer_address == NULL) {
+        return false;
+    }
+    feed->peer_due_us = now_us + SYN_BACKOFF_MAX_US;
+    log_info("sync",
+             "asking peer kind=%s vm=%s its_change=%" G_GINT64_FORMAT
+             " own_change=%" G_GINT64_FORMAT,
+             syn_names[kind], vm->name, vm->changes[kind], feed->change);
+    syn_fetch(syn, kind, vm->peer_address, now_us);
+    return true;
+}
+
+void
+syn_tick(struct syn *syn, const struct mem *mem, int64_t now_us)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        struct syn_feed *feed = &syn->feeds[i];
+        syn_end_overdue(syn, i, now_us);
+        if (syn_ask_peer(syn, i, mem, now_us)) {
+            continue;
+        }
+        if (!feed->is_in_flight && now_us >= feed->due_us) {
+            syn_fetch(syn, i, NULL, now_us);
+        }
+    }
+}
+
+void
+syn_changes(const struct syn *syn, int64_t *out)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        out[i] = syn->feeds[i].change;
+    }
+}
+
+bool
+syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us)
+{
+    return !syn->feeds[MEM_CONFIG].has_list ||
+           (syn->failing_us > 0 && now_us - syn->failing_us >= age_us);
+}
+
+const GHashTable *
+syn_known(const struct syn *syn, enum mem_kind kind)
+{
+    return syn->feeds[kind].known;
+}
--- /dev/null
+++ b/gateway/wire.c
@@ -0,0 +1,22 @@
+#include "gateway/wire.h"
+
+void
+wir_objects_clear(struct wir_objects *objects)
+{
+    if (objects->objects != NULL) {
+        g_array_free(objects->objects, TRUE);
+    }
+    json_decref(objects->root);
+    *objects = (struct wir_objects){.root = NULL};
+}
+
+void
+wir_request_clear(struct wir_request *request)
+{
+    g_free(request->id);
+    g_free(request->host);
+    if (request->fields != NULL) {
+        g_string_free(request->fields, TRUE);
+    }
+    *request = (struct wir_request){.id = NULL};
+}
--- a/include/common/budget.h
+++ b/include/common/budget.h
@@ -13,12 +13,19 @@
     uint32_t permille;
     uint32_t max_tokens;
     uint64_t millitokens;
+    uint32_t initial_tokens;
     uint64_t earned_count; /* first attempts */
     uint64_t spent_count;  /* extra attempts */
 };
 
 void bgt_init(struct bgt *budget, uint32_t permille, uint32_t max_tokens);
 
+/* As bgt_init() with all tokens there at the start. */
+void bgt_init_full(struct bgt *budget, uint32_t permille, uint32_t max_tokens);
+
+/* Changes the largest number of tokens; those above it are lost. */
+void bgt_set_max(struct bgt *budget, uint32_t max_tokens);
+
 /* Notes one first attempt. */
 void bgt_earn(struct bgt *budget);
 
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -6,6 +6,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "common/http_field.h"
+
 /*
  * One HTTP/1.1 connection that the caller owns and chooses. It carries one
  * request at a time.
@@ -18,9 +20,15 @@
     int status; /* HTTP status when rc is RC_OK */
     const char *body;
     size_t body_bytes;
+    const struct http_field *fields;
+    size_t field_count;
     bool is_keepalive; /* the connection may carry another request */
 };
 
+/* The header with this name, or NULL. */
+const struct http_field *hcl_field(const struct hcl_response *response,
+                                   const char *name);
+
 /* Called once when the connection is up (RC_OK) or failed (RC_LINK_FAILED). */
 typedef void (*hcl_connected_cb)(struct hcl_conn *conn, int rc, void *ctx);
 
@@ -51,6 +59,13 @@
                 const char *extra_headers, const void *body, size_t body_bytes,
                 hcl_response_cb response, void *ctx);
 
+/*
+ * As hcl_request() with the bytes of a whole request, which the call takes
+ * over. `is_head` tells that the response has no body.
+ */
+int hcl_send(struct hcl_conn *conn, GString *request, bool is_head,
+             hcl_response_cb response, void *ctx);
+
 /*
  * Ends the sending side; the response of the current request is discarded and
  * its callback not called. `lost` is called when the peer closes its side, or
--- /dev/null
+++ b/include/common/http_field.h
@@ -0,0 +1,28 @@
+#ifndef CH_COMMON_HTTP_FIELD_H
+#define CH_COMMON_HTTP_FIELD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+
+/* One header of a request or response; not NUL-terminated. */
+struct http_field {
+    const char *name;
+    size_t name_bytes;
+    const char *value;
+    size_t value_bytes;
+};
+
+/* Whether the header has this name, in any case. */
+static inline bool
+http_field_is(const struct http_field *field, const char *name)
+{
+    return field->name_bytes == strlen(name) &&
+           g_ascii_strncasecmp(field->name, name, field->name_bytes) == 0;
+}
+
+/* Whether the header concerns one connection only and is not forwarded. */
+bool http_field_is_hop(const struct http_field *field);
+
+#endif
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -5,19 +5,22 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "common/http_field.h"
+
 /* HTTP server on h2o. A request may be answered later, once. */
 
 struct hsv_server;
 
 struct hsv_request {
-    const char *method; /* NUL-terminated, as are path and query */
+    const char *method; /* NUL-terminated, as are target, path and query */
+    const char *target; /* path and query as they were sent */
     const char *path;
     const char *query; /* after '?', "" if there is none */
     const char *body;
     size_t body_bytes;
-    /* Set by the handler to learn, within some 20 ms, that the caller closed
-     * the connection or its sending side; the request must still be answered,
-     * to no effect. Called at most once. */
+    /* Set by the handler to learn, within the server's gone check interval,
+     * that the caller closed the connection or its sending side; the request
+     * must still be answered, to no effect. Called at most once. */
     void (*on_gone)(struct hsv_request *request, void *ctx);
     void *ctx;
 };
@@ -34,6 +37,14 @@
 /* Value of a request header (lower-case name) or NULL; free with g_free. */
 char *hsv_header(const struct hsv_request *request, const char *name);
 
+/* Called for each header of the request but Host and those of its framing. */
+typedef void (*hsv_field_cb)(const struct http_field *field, void *ctx);
+void hsv_each_field(const struct hsv_request *request, hsv_field_cb visit,
+                    void *ctx);
+
+/* The request's Host, "" if there is none; free with g_free. */
+char *hsv_host(const struct hsv_request *request);
+
 /* Value of a query parameter or NULL; free with g_free. */
 char *hsv_query_value(const struct hsv_request *request, const char *name);
 
@@ -45,6 +56,18 @@
                  const char *content_type, const void *body,
                  size_t body_bytes);
 
+/* As hsv_respond() with these headers; the framing is added. */
+void hsv_respond_fields(struct hsv_request *request, int status,
+                        const struct http_field *fields, size_t field_count,
+                        const void *body, size_t body_bytes);
+
+/* How often waiting requests are checked for a caller that left (20 ms). */
+void hsv_set_gone_check(struct hsv_server *server, uint64_t interval_ms);
+
+/* Asks open connections to close after their next answer; goes on accepting.
+ */
+void hsv_drain(struct hsv_server *server);
+
 /* Stops accepting connections and asks open ones to close. */
 void hsv_stop(struct hsv_server *server);
 
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -2,7 +2,7 @@
 #define CH_COMMON_LOG_H
 
 /*
- * Log lines go to stderr through log4c as
+ * Log lines go to stderr, or stdout on demand, through log4c as
  * `time level category message key=value ...`. The message is a fixed phrase;
  * what varies goes into key=value pairs after it.
  */
@@ -20,8 +20,25 @@
  */
 int log_open(const char *program, const char *machine, const char *level);
 
+/*
+ * Sends lines to standard output from now on, without ever waiting for it:
+ * lines that it does not take are dropped and counted.
+ */
+void log_to_stdout(void);
+
 void log_close(void);
 
+/* Lines that were dropped since the last call. */
+unsigned long log_take_dropped(void);
+
+/*
+ * As log_info() for lines that each request may cause: at most
+ * LOG_SAMPLES_PER_S a second, the rest is dropped and counted.
+ */
+#define LOG_SAMPLES_PER_S 40
+void log_sample(const char *module, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
 void log_write(enum log_level level, const char *module, const char *format,
                ...) __attribute__((format(printf, 3, 4)));
 
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -37,6 +37,7 @@
     MSG_CELL_PULL,
     MSG_CELL,
     MSG_CONFIRM_OFFER,
+    MSG_VM_BEAT,
     MSG_TYPE_COUNT,
 };
 
@@ -310,6 +311,19 @@
     size_t member_count;
 };
 
+/* Heartbeat of a gateway to the other VMs. */
+struct msg_vm_beat {
+    const char *name;
+    uint64_t start;
+    const char *dc;
+    const char *request_address;
+    const char *peer_address;
+    uint64_t is_ready;
+    int64_t config_change; /* store revisions of the newest changes known */
+    int64_t backend_change;
+    int64_t drain_change;
+};
+
 /* A decoded message; `body` points to the struct of `type`. */
 struct msg {
     enum msg_type type;
--- a/include/common/rc.h
+++ b/include/common/rc.h
@@ -79,7 +79,11 @@
       "an order with this id is still running")                               \
     X(RC_BUDGET, -38, "budget", RC_RUN_NO, 503, "retry budget is used up")    \
     X(RC_LIMIT, -39, "limit", RC_RUN_NO, 503,                                 \
-      "no slot or link is free within its limit")
+      "no slot or link is free within its limit")                             \
+    X(RC_WRONG_BACKEND, -40, "wrong_backend", RC_RUN_NO, 503,                 \
+      "another backend server has the address")                               \
+    X(RC_BACKEND_ERROR, -41, "backend_error", RC_RUN_YES, 502,                \
+      "backend server answered with an error")
 
 #define RC_ENUM(symbol, number, name, run, http, text) symbol = (number),
 enum rc { RC_LIST(RC_ENUM) };
--- /dev/null
+++ b/include/gateway/app.h
@@ -0,0 +1,90 @@
+#ifndef CH_GATEWAY_APP_H
+#define CH_GATEWAY_APP_H
+
+#include <uv.h>
+
+#include "common/counter.h"
+#include "common/hist.h"
+#include "common/http_server.h"
+#include "gateway/gateway.h"
+#include "gateway/member.h"
+#include "gateway/settings.h"
+#include "gateway/sync.h"
+#include "gateway/wire.h"
+
+/* One gateway process: the decision modules and the sockets around them. */
+
+struct sto;
+struct pio;
+
+struct app {
+    uv_loop_t loop;
+    const struct wir *wire;
+    const char *settings_path;
+    struct stg settings;
+    struct cnt_set *counters;
+    struct hst answer_us; /* from request to answer */
+    struct gtw gtw;
+    struct mem mem;
+    struct syn syn;
+    struct sto *store;
+    struct pio *peers;
+    struct hsv_server *request_server;
+    struct hsv_server *ready_server;
+    struct hsv_server *directory_server;
+    struct hsv_server *metrics_server;
+    uv_timer_t tick_timer;
+    uv_timer_t due_timer;
+    uv_prepare_t prepare;
+    uv_signal_t term_signal;
+    uv_signal_t hup_signal;
+    char *peer_address;
+    uint64_t start;
+    uint64_t random_state;
+    int64_t settings_mtime_ns;
+    int64_t settings_checked_us;
+    int64_t stopping_us; /* when SIGTERM came, 0: not */
+};
+
+/* Runs until SIGTERM. Returns RC_OK or why it could not start. */
+int app_run(const char *settings_path, const struct wir *wire);
+
+/* The steady clock in microseconds. */
+int64_t app_now_us(void);
+
+/* Whether this VM takes requests. */
+bool app_is_ready(const struct app *app);
+
+/* Store calls (store_io.c). */
+struct sto *sto_new(struct app *app);
+void sto_free(struct sto *store);
+void sto_fetch(struct sto *store, const struct syn_fetch *fetch);
+/* Writes this VM's object and lists the others; repeats what fails. */
+void sto_tick(struct sto *store, int64_t now_us);
+/* Deletes this VM's object. */
+void sto_unlist(struct sto *store);
+
+/* Heartbeats and news among the VMs (peer_io.c). Returns RC_OK or RC_IO. */
+int pio_new(struct app *app, struct pio **out);
+void pio_free(struct pio *peers);
+void pio_tick(struct pio *peers, int64_t now_us);
+/* Sends a heartbeat to all VMs at once. */
+void pio_beat(struct pio *peers);
+void pio_fetch(struct pio *peers, const struct syn_fetch *fetch);
+
+/* Links to backend servers (link_io.c); types of struct gtw_calls. */
+int lio_connect(struct bke_link *link, void *ctx);
+void lio_close(struct bke_link *link, void *ctx);
+int lio_send(struct bke_link *link, const struct ask_request *request,
+             int64_t left_us, void *ctx);
+
+/* Callers' requests (caller_io.c). */
+void cio_on_request(struct hsv_request *http, void *ctx);
+void cio_answer(void *request_ctx, const struct ask_answer *answer, void *ctx);
+
+/* Addresses, readiness and metrics (directory_io.c). */
+void dio_on_ready(struct hsv_request *http, void *ctx);
+void dio_on_directory(struct hsv_request *http, void *ctx);
+void dio_on_metrics(struct hsv_request *http, void *ctx);
+
+#endif
--- /dev/null
+++ b/include/gateway/backend.h
@@ -0,0 +1,161 @@
+#ifndef CH_GATEWAY_BACKEND_H
+#define CH_GATEWAY_BACKEND_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The backend servers, the links to them and what this VM knows of them. */
+
+/* A backend server as it describes itself in the store. */
+struct bke_entry {
+    const char *id;
+    const char *service;
+    const char *address; /* IPV4:PORT */
+    const char *dc;      /* data centre */
+    uint32_t slots;
+    bool is_draining;
+    int64_t warmup_left_us;
+    int64_t born_ms; /* start of the process by its own clock, 0 if not told */
+};
+
+enum bke_link_state {
+    BKE_CONNECTING,
+    BKE_IDLE,
+    BKE_BUSY,
+};
+
+/* One connection to a backend server. */
+struct bke_link {
+    struct bke *backend;
+    enum bke_link_state state;
+    int64_t since_us;   /* when the state began */
+    int64_t expires_us; /* an idle link is not used from then on */
+    void *attempt;      /* of the user, NULL while idle or abandoned */
+    int64_t abandon_us; /* an abandoned link is closed then */
+    uint32_t use_count; /* requests it has carried */
+    void *io;           /* of the I/O side */
+};
+
+/* Requests sent in the last second to a cold backend server. */
+struct bke_cold {
+    int64_t second_us; /* begin of the window */
+    uint32_t count;
+};
+
+struct bke {
+    uint32_t references;
+    char *id;
+    char *service;
+    char *address;
+    char *dc;
+    uint32_t slots;
+    bool is_draining;
+    int64_t born_ms;
+    int64_t warm_us;   /* cold until then */
+    int64_t remove_us; /* when a lapsed entry is taken as gone, 0: it is not */
+    bool is_removed;
+    GPtrArray *links;    /* of struct bke_link */
+    int64_t latency_us;  /* moving average of answered requests */
+    uint32_t fail_run;   /* failures in a row */
+    int64_t avoid_us;    /* not chosen before then if another one can be */
+    int64_t answered_us; /* last answer */
+    int64_t wrong_id_us; /* when its address answered for another one */
+    struct bke_cold cold;
+};
+
+/* I/O that is asked for. */
+struct bke_calls {
+    /* Starts connecting. Returns RC_OK or RC_LINK_FAILED. */
+    int (*connect)(struct bke_link *link, void *ctx);
+    void (*close)(struct bke_link *link, void *ctx);
+};
+
+struct bke_set {
+    GHashTable *by_id;      /* id -> struct bke */
+    GHashTable *by_service; /* name -> GPtrArray of struct bke */
+    const struct bke_calls *calls;
+    void *ctx;
+};
+
+/* A lapsed entry is kept this long: a backend server whose heartbeat was lost
+ * writes again in time, and one that leaves still serves. */
+#define BKE_LAPSE_HOLD_US (1800 * 1000)
+/* The same after an outage of the store, in which entries lapse. */
+#define BKE_OUTAGE_HOLD_US (2500 * 1000)
+/* An idle link is not reused after this time. */
+#define BKE_IDLE_MAX_US (20LL * 1000 * 1000)
+/* A link that is not up by then is closed. */
+#define BKE_CONNECT_MAX_US (1000 * 1000)
+/* Failures in a row from which a backend server is avoided. */
+#define BKE_FAIL_RUN 2
+
+void bke_set_init(struct bke_set *set, const struct bke_calls *calls,
+                  void *ctx);
+
+/* Closes all links. */
+void bke_set_clear(struct bke_set *set);
+
+/* Adds or changes the backend server; it may be the same id started again. */
+void bke_note(struct bke_set *set, const struct bke_entry *entry,
+              int64_t now_us);
+
+/* The entry is gone from the store; it takes effect at `remove_us`. */
+void bke_lapse(struct bke_set *set, const char *id, int64_t remove_us);
+
+/* Removes what lapsed; closes links that are too old. */
+void bke_tick(struct bke_set *set, int64_t now_us);
+
+/* The backend servers (struct bke) of a service, NULL for none. */
+const GPtrArray *bke_of(const struct bke_set *set, const char *service);
+
+struct bke *bke_find(const struct bke_set *set, const char *id);
+
+struct bke *bke_ref(struct bke *backend);
+
+void bke_unref(struct bke *backend);
+
+bool bke_is_cold(const struct bke *backend, int64_t now_us);
+
+/* The idle link that was used last, or NULL. */
+struct bke_link *bke_idle_link(const struct bke *backend, int64_t now_us);
+
+/* Opens a link for an attempt; NULL when connecting cannot start. */
+struct bke_link *bke_open_link(struct bke_set *set, struct bke *backend,
+                               void *attempt, int64_t now_us);
+
+/* Marks an idle link as used by the attempt. */
+void bke_take_link(struct bke_link *link, void *attempt, int64_t now_us);
+
+/* Gives the link back; `keepalive_us` is how long it may stay idle. */
+void bke_give_link(struct bke_link *link, int64_t keepalive_us,
+                   int64_t now_us);
+
+/*
+ * The attempt no longer waits. The link stays until it is answered, at most
+ * until `until_us`: closing it would cost a new connection.
+ */
+void bke_abandon_link(struct bke_link *link, int64_t until_us);
+
+/* Links that carry a request or connect for one. */
+uint32_t bke_busy_count(const struct bke *backend);
+
+/* Closes and frees the link. */
+void bke_drop_link(struct bke_set *set, struct bke_link *link);
+
+/* An answer of the backend server, with how long it took. */
+void bke_on_answer(struct bke *backend, int64_t latency_us, int64_t now_us);
+
+/* A request failed or was not answered in time. */
+void bke_on_failure(struct bke *backend, int64_t now_us);
+
+/* The backend server refused a request because it is full. */
+void bke_on_shed(struct bke *backend, int64_t now_us);
+
+/* Its address belongs to another one; unused until its entry changes. */
+void bke_on_wrong_id(struct bke *backend, int64_t now_us);
+
+/* Age of the oldest request that is unanswered, 0 for none. */
+int64_t bke_oldest_us(const struct bke *backend, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/gateway/choose.h
@@ -0,0 +1,44 @@
+#ifndef CH_GATEWAY_CHOOSE_H
+#define CH_GATEWAY_CHOOSE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "gateway/backend.h"
+#include "gateway/config.h"
+
+/* Which replica gets a request. */
+
+#define CHS_TRIED_MAX 6
+
+struct chs_bounds {
+    uint32_t vms; /* that may be sending, this one included */
+    double warmup_overshoot;
+    uint32_t warmup_slack;
+};
+
+struct chs_request {
+    const struct gcf_service *service;
+    const char *dc;          /* of this VM */
+    GHashTable *drained_dcs; /* set of data centres that get nothing */
+    struct chs_bounds bounds;
+    const struct bke *tried[CHS_TRIED_MAX];
+    uint32_t tried_count;
+    bool is_strict; /* never one that was tried */
+    double random;  /* 0 to 1, chooses among replicas that are as good */
+};
+
+/*
+ * The replica with the shortest expected time that may get a request now.
+ * Returns RC_OK and sets `*out`; RC_LIMIT when those that could serve it are
+ * at a limit of this VM; RC_ZONE_OUT when all are draining; RC_NO_SEARCHER
+ * when there is none.
+ */
+int chs_choose(const struct bke_set *set, const struct chs_request *request,
+               int64_t now_us, struct bke **out);
+
+/* Notes that a request is sent; a cold backend server's rate counts it. */
+void chs_on_send(struct bke *backend, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/gateway/config.h
@@ -0,0 +1,79 @@
+#ifndef CH_GATEWAY_CONFIG_H
+#define CH_GATEWAY_CONFIG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* One version of the operators' configuration: routes, services and limits. It
+ * does not change once it is sealed and is shared by reference. */
+
+struct gcf_service {
+    char *name;
+    char *health_path;
+    uint32_t connections_max; /* of one backend server, all VMs together */
+    int64_t warmup_us;
+    double
+        warmup_per_s; /* requests a cold backend server bears, 0: no bound */
+};
+
+/* A service and its share of a route's requests. */
+struct gcf_target {
+    const struct gcf_service *service;
+    uint32_t weight;
+};
+
+struct gcf_route {
+    char *name;
+    char *host;
+    char *prefix;
+    bool is_idempotent;
+    /* All targets are asked, and their parts make up the answer. */
+    bool is_gather;
+    int64_t timeout_us;
+    int64_t objective_us; /* latency objective, 0 for none */
+    uint32_t attempts_max;
+    int32_t priority; /* 0 is the highest */
+    GArray *targets;  /* of struct gcf_target */
+    uint32_t record_limit;
+    uint32_t coverage_min_permille;
+};
+
+struct gcf_limits {
+    uint64_t body_max_bytes;
+    int64_t idle_timeout_us;
+};
+
+struct gcf {
+    uint32_t references;
+    int64_t version;
+    GHashTable *services; /* name -> struct gcf_service */
+    GHashTable *routes;   /* "host\nprefix" -> struct gcf_route */
+    GHashTable *hosts;    /* set of names */
+    struct gcf_limits limits;
+};
+
+struct gcf *gcf_new(int64_t version);
+
+struct gcf *gcf_ref(struct gcf *config);
+
+void gcf_unref(struct gcf *config);
+
+/* Takes over the service; one with the same name is replaced. */
+void gcf_add_service(struct gcf *config, struct gcf_service *service);
+
+/* Takes over the route. */
+void gcf_add_route(struct gcf *config, struct gcf_route *route);
+
+struct gcf_route *gcf_route_new(void);
+
+void gcf_route_free(gpointer route);
+
+const struct gcf_service *gcf_find_service(const struct gcf *config,
+                                           const char *name);
+
+/* The route of this host with the longest prefix of `path`, or NULL. */
+const struct gcf_route *gcf_find_route(const struct gcf *config,
+                                       const char *host, const char *path);
+
+#endif
--- /dev/null
+++ b/include/gateway/finish.h
@@ -0,0 +1,36 @@
+#ifndef CH_GATEWAY_FINISH_H
+#define CH_GATEWAY_FINISH_H
+
+#include <stdint.h>
+
+/*
+ * When a request over many shards is answered. An answer loses most of its
+ * worth at the latency objective and little with a missing part, so it waits
+ * for all parts until just before the objective, and from then on only for the
+ * least coverage.
+ */
+
+enum fin_verdict {
+    FIN_WAIT,
+    FIN_ANSWER,
+    FIN_FAIL, /* the least coverage is out of reach, or it is too late */
+};
+
+struct fin_state {
+    int64_t objective_us; /* when the answer must reach the caller, 0: none */
+    int64_t deadline_us;  /* the caller waits no longer */
+    uint32_t parts;
+    uint32_t done;
+    uint32_t failed; /* parts that will not come */
+    uint32_t coverage_min_permille;
+};
+
+/* Kept for the way back to the caller and the merge. */
+#define FIN_RETURN_US (10 * 1000)
+
+enum fin_verdict fin_judge(const struct fin_state *state, int64_t now_us);
+
+/* When the verdict may change without another part. */
+int64_t fin_due_us(const struct fin_state *state, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/gateway/gateway.h
@@ -0,0 +1,151 @@
+#ifndef CH_GATEWAY_GATEWAY_H
+#define CH_GATEWAY_GATEWAY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/counter.h"
+#include "gateway/backend.h"
+#include "gateway/choose.h"
+#include "gateway/config.h"
+#include "relay/hedge.h"
+
+/*
+ * The path of requests of one VM, without its I/O: what arrives is passed in
+ * with the time, what is to be sent goes out through callbacks.
+ */
+
+struct ask;
+struct att;
+
+/* A caller's request. The memory is the caller's until the answer. */
+struct ask_request {
+    const char *method;
+    const char *target; /* path and query as sent */
+    const char *host;
+    const char *id;     /* unique for each try of the caller */
+    const char *fields; /* header lines to be passed on */
+    const void *body;
+    size_t body_bytes;
+    int64_t deadline_us; /* the caller waits no longer; INT64_MAX: not told */
+    void *ctx;
+};
+
+/* What a backend server answered. */
+struct att_answer {
+    /* RC_OK for a success; RC_BACKEND_ERROR for another final status; RC_SHED
+     * or RC_WRONG_BACKEND when it says that it did not run the request; else
+     * why there is no usable answer. */
+    int rc;
+    int status;
+    const char *stamp;  /* its signature, NULL if there is none */
+    const char *fields; /* header lines to be passed on */
+    const void *body;
+    size_t body_bytes;
+    bool is_reusable;     /* the link may carry another request */
+    int64_t keepalive_us; /* how long it may stay idle */
+    int64_t warmup_us;    /* how long it stays cold, -1 if not told */
+};
+
+/* What the caller gets. */
+struct ask_answer {
+    int rc;
+    int status;         /* of the backend server, 0 for the gateway's own */
+    const char *fields; /* header lines of the backend server, or NULL */
+    const void *body;
+    size_t body_bytes;
+    const GPtrArray *stamps; /* signatures of the parts, NULL: one server */
+    uint32_t missing_parts;
+    int64_t retry_after_us; /* with a refusal: when to come back */
+};
+
+struct gtw_calls {
+    struct bke_calls link;
+    /* Sends the attempt's request on its link with the time that is left.
+     * Returns RC_OK or RC_LINK_FAILED. */
+    int (*send)(struct bke_link *link, const struct ask_request *request,
+                int64_t left_us, void *ctx);
+    /* Called once for each request; the request is gone afterwards. */
+    void (*answer)(void *request_ctx, const struct ask_answer *answer,
+                   void *ctx);
+    /* Random number from 0 to 1. */
+    double (*random)(void *ctx);
+};
+
+struct gtw_bounds {
+    uint32_t extra_permille; /* extra sends of the requests for a service */
+    uint32_t extra_count;    /* and this many more, all VMs together */
+    double warmup_overshoot;
+    uint32_t warmup_slack;
+};
+
+struct gtw {
+    const struct gtw_calls *calls;
+    void *ctx;
+    struct cnt_set *counters;
+    char *dc;
+    struct gtw_bounds bounds;
+    uint32_t vms;       /* VMs that may be sending, this one included */
+    struct gcf *config; /* NULL until the first one */
+    struct bke_set backends;
+    GHashTable *drained_dcs; /* set of names */
+    GHashTable *hedges;      /* route name -> struct hdg */
+    GHashTable *budgets;     /* service name -> struct bgt */
+    GHashTable *splits;      /* route name -> struct spl */
+    GQueue asks;             /* of struct ask */
+    uint64_t ask_serial;
+    bool is_config_stale; /* unknown routes are not refused for good */
+};
+
+/* When a caller should return that came before the first configuration. */
+#define GTW_NO_CONFIG_RETRY_US (300 * 1000)
+/* The same when no backend server can be used. */
+#define GTW_NO_BACKEND_RETRY_US (250 * 1000)
+
+void gtw_init(struct gtw *gtw, const char *dc, const struct gtw_calls *calls,
+              void *ctx, struct cnt_set *counters);
+
+/* Open requests get no answer. */
+void gtw_clear(struct gtw *gtw);
+
+/* Takes over the configuration if its version is higher. Returns RC_OK or
+ * RC_STALE. */
+int gtw_adopt(struct gtw *gtw, struct gcf *config);
+
+/* Starts a request. The answer may come before this returns; then NULL is
+ * returned. */
+struct ask *gtw_ask(struct gtw *gtw, const struct ask_request *request,
+                    int64_t now_us);
+
+/* The caller is gone; no answer follows. */
+void gtw_abandon(struct gtw *gtw, struct ask *ask, int64_t now_us);
+
+/* What happened on a link. */
+void gtw_on_connected(struct gtw *gtw, struct bke_link *link, int rc,
+                      int64_t now_us);
+void gtw_on_answer(struct gtw *gtw, struct bke_link *link,
+                   const struct att_answer *answer, int64_t now_us);
+/* The link ended without an answer; `rc` as of att_answer. */
+void gtw_on_lost(struct gtw *gtw, struct bke_link *link, int rc,
+                 int64_t now_us);
+
+/* Does what is due; to be called at gtw_due_us(). */
+void gtw_tick(struct gtw *gtw, int64_t now_us);
+
+int64_t gtw_due_us(const struct gtw *gtw);
+
+/* Ends all requests that are open, before the process exits. */
+void gtw_end_all(struct gtw *gtw, int64_t now_us);
+
+/* The table of what is known of a route's latency. */
+struct hdg *gtw_hedge(struct gtw *gtw, const struct gcf_route *route);
+
+/* The budget of extra sends to a service. */
+struct bgt *gtw_budget(struct gtw *gtw, const struct gcf_service *service);
+
+/* The target of the next request on a split route. */
+const struct gcf_target *gtw_split(struct gtw *gtw,
+                                   const struct gcf_route *route);
+
+#endif
--- /dev/null
+++ b/include/gateway/news.h
@@ -0,0 +1,24 @@
+#ifndef CH_GATEWAY_NEWS_H
+#define CH_GATEWAY_NEWS_H
+
+#include <glib.h>
+
+#include "gateway/wire.h"
+
+/* News between VMs: what one knows of a kind of objects, as a list in JSON:
+ * {"change": N, "objects": [{"name", "revision", "spec"}]}. */
+
+/* Path at which a VM is asked for a kind; free with g_free. */
+char *nws_path(enum mem_kind kind);
+
+/* The kind that the path names, or MEM_KIND_COUNT. */
+enum mem_kind nws_kind(const char *path);
+
+/* The body for a kind; free with g_free. */
+char *nws_write(const struct syn *syn, enum mem_kind kind);
+
+/* Reads a body; `out->reply.rc` is RC_OK or RC_BAD_REPLY. */
+void nws_read(int status, const char *body, size_t body_bytes,
+              struct wir_objects *out);
+
+#endif
--- /dev/null
+++ b/include/gateway/record.h
@@ -0,0 +1,19 @@
+#ifndef CH_GATEWAY_RECORD_H
+#define CH_GATEWAY_RECORD_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* The greatest records of several parts. A record is REC_BYTES long and
+ * compared byte by byte; equal ones all count. */
+
+#define REC_BYTES 16
+
+/* Adds the records of a part; a shorter remainder is not a record. */
+void rec_add(GByteArray *records, const void *body, size_t body_bytes);
+
+/* Sorts, greatest first, and keeps at most `limit`. */
+void rec_finish(GByteArray *records, uint32_t limit);
+
+#endif
--- /dev/null
+++ b/include/gateway/sync.h
@@ -0,0 +1,116 @@
+#ifndef CH_GATEWAY_SYNC_H
+#define CH_GATEWAY_SYNC_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "gateway/member.h"
+
+/*
+ * Follows the kinds of objects in the store: lists them, watches them, asks a
+ * peer that knows more, and backs off while the store fails. Does no I/O.
+ */
+
+/* One object, or the news that it is gone. */
+struct syn_object {
+    const char *name;
+    int64_t revision; /* of its last change */
+    bool is_deleted;
+    json_t *spec; /* NULL when deleted */
+};
+
+/* A reply to a list or a watch. */
+struct syn_reply {
+    /* RC_OK; RC_VERSION_GONE when the watched history is gone; else the store
+     * gave no usable reply. */
+    int rc;
+    const struct syn_object *objects;
+    size_t object_count;
+    bool has_more; /* a list goes on after its last object */
+    int64_t current_revision;
+};
+
+/* What to fetch. */
+struct syn_fetch {
+    enum mem_kind kind;
+    bool is_watch;
+    int64_t revision;  /* of a watch */
+    int64_t wait_ms;   /* of a watch */
+    const char *after; /* name after which a list goes on, NULL: the start */
+    const char *peer;  /* address of the peer to ask, NULL: the store */
+    uint32_t serial;   /* to be passed back with the reply */
+};
+
+struct syn_calls {
+    void (*fetch)(const struct syn_fetch *fetch, void *ctx);
+    /* A changed object; `remove_us` is when a deletion takes effect. */
+    void (*apply)(enum mem_kind kind, const struct syn_object *object,
+                  int64_t remove_us, int64_t now_us, void *ctx);
+};
+
+struct syn_known {
+    int64_t revision;
+    json_t *spec;
+};
+
+struct syn_feed {
+    GHashTable *known;  /* name -> struct syn_known */
+    GHashTable *listed; /* names of a list under way */
+    char *after;
+    bool has_list;     /* a whole list was read */
+    bool is_in_flight; /* a fetch is not answered */
+    bool is_from_peer; /* and goes to a peer */
+    uint32_t serial;   /* of that fetch */
+    bool must_list;
+    int64_t revision;    /* to watch from */
+    int64_t change;      /* newest change known */
+    int64_t due_us;      /* when to fetch next */
+    int64_t peer_due_us; /* when a peer may be asked next */
+    int64_t sent_us;
+};
+
+struct syn {
+    const struct syn_calls *calls;
+    void *ctx;
+    struct syn_feed feeds[MEM_KIND_COUNT];
+    uint32_t fail_run;    /* fetches from the store that failed in a row */
+    int64_t failing_us;   /* since when, 0: it answers */
+    int64_t recovered_us; /* when it answered again after an outage */
+    int64_t hold_us;      /* how long a lapsed object is kept */
+    int64_t outage_hold_us;
+};
+
+/* Watches are asked again at most this often, so that a burst of changes
+ * costs one call. */
+#define SYN_WATCH_IVL_US (500 * 1000)
+#define SYN_WATCH_WAIT_MS 25000
+/* Without a reply for this long beyond its wait a fetch has failed. */
+#define SYN_TIMEOUT_US (2000 * 1000)
+#define SYN_BACKOFF_MIN_US (200 * 1000)
+#define SYN_BACKOFF_MAX_US (1000 * 1000)
+/* Failing for this long is an outage, in which entries lapse. */
+#define SYN_OUTAGE_US (500 * 1000)
+
+void syn_init(struct syn *syn, const struct syn_calls *calls, void *ctx);
+
+void syn_clear(struct syn *syn);
+
+/* Fetches what is due. */
+void syn_tick(struct syn *syn, const struct mem *mem, int64_t now_us);
+
+/* The reply to a fetch; one with another serial than the last is dropped. */
+void syn_on_reply(struct syn *syn, const struct syn_fetch *fetch,
+                  const struct syn_reply *reply, int64_t now_us);
+
+/* The newest changes known, one for each kind. */
+void syn_changes(const struct syn *syn, int64_t *out);
+
+/* Whether the store has not answered for `age_us`. */
+bool syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us);
+
+/* All objects of a kind as name and struct syn_known, for a peer's list. */
+const GHashTable *syn_known(const struct syn *syn, enum mem_kind kind);
+
+#endif
--- /dev/null
+++ b/include/gateway/wire.h
@@ -0,0 +1,82 @@
+#ifndef CH_GATEWAY_WIRE_H
+#define CH_GATEWAY_WIRE_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/http_client.h"
+#include "common/http_server.h"
+#include "gateway/gateway.h"
+#include "gateway/sync.h"
+
+/* What a deployment speaks: a table of encoders and decoders. They translate
+ * and decide nothing. */
+
+/* A decoded reply of the store and the memory that it points to. */
+struct wir_objects {
+    struct syn_reply reply;
+    GArray *objects; /* of struct syn_object */
+    json_t *root;
+};
+
+/* A VM as it is written to the store. */
+struct wir_vm {
+    const char *name;
+    const char *peer_address;
+};
+
+/* A decoded request of a caller; free with wir_request_clear(). */
+struct wir_request {
+    char *id;
+    char *host;
+    GString *fields;
+    int64_t wait_us; /* how long the caller waits, INT64_MAX: not told */
+};
+
+struct wir {
+    /* Path and query of a list or watch; free with g_free. */
+    char *(*fetch_path)(const struct syn_fetch *fetch);
+    /* Reads the reply to a list or watch; `out->reply.rc` tells the result. */
+    void (*read_objects)(bool is_watch, int status, const char *body,
+                         size_t body_bytes, struct wir_objects *out);
+
+    /* Return RC_OK, or RC_INVALID with a log line that says what is wrong. */
+    int (*read_config)(const struct syn_object *object, struct gcf **out);
+    int (*read_backend)(const struct syn_object *object,
+                        struct bke_entry *out);
+
+    /* Paths and bodies of the VMs' own objects; free with g_free. */
+    char *(*vms_path)(const char *name); /* NULL: the list of all */
+    char *(*write_vm)(const struct wir_vm *vm);
+    /* Returns RC_OK or RC_INVALID. */
+    int (*read_vm)(const struct syn_object *object, struct wir_vm *out);
+
+    /* Returns RC_OK, or RC_BAD_FIELD when the request has no id. */
+    int (*read_request)(const struct hsv_request *http,
+                        struct wir_request *out);
+    void (*respond)(struct hsv_request *http, const char *id,
+                    const struct ask_answer *answer);
+
+    /* Bytes of a request to a backend server. */
+    GString *(*write_request)(const struct bke *backend,
+                              const struct ask_request *request,
+                              int64_t left_us);
+    /* Reads a response of a backend server to the request with this id;
+     * `fields` receives the header lines that are passed on. */
+    void (*read_answer)(const struct hcl_response *response, const char *id,
+                        GString *fields, GString *stamp,
+                        struct att_answer *out);
+
+    bool (*is_ready_path)(const char *path);
+    bool (*is_directory_path)(const char *path);
+    /* Body of an answer that names addresses (char *); free with g_free. */
+    char *(*write_addresses)(const GPtrArray *addresses, int64_t ttl_ms);
+};
+
+void wir_objects_clear(struct wir_objects *objects);
+
+void wir_request_clear(struct wir_request *request);
+
+#endif
