http_client: a reset behind the last bytes is not the end of an answer

Cause: libuv reports UV_EOF when a connection is reset in the same poll in which its last bytes arrive.

Change: at the end of the stream the socket is asked whether the peer closed it in order.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -2,6 +2,7 @@
 #include <http_parser.h>
 #include <inttypes.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "common/http_client.h"
 #include "common/net.h"
@@ -220,6 +221,19 @@
     }
 }
 
+/*
+ * Whether the peer closed the connection in order. libuv reports the end of
+ * the stream also for a reset that arrives together with the last bytes.
+ */
+static bool
+hcl_is_closed_in_order(const struct hcl_conn *conn)
+{
+    uv_os_fd_t fd = -1;
+    char byte = 0;
+    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 hcl_on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
@@ -229,7 +243,8 @@
     }
     if (nread < 0) {
         /* Without a length the end of the stream ends the body. */
-        if (nread == UV_EOF && conn->response != NULL) {
+        if (nread == UV_EOF && conn->response != NULL &&
+            hcl_is_closed_in_order(conn)) {
             hcl_parse(conn, NULL, 0);
             if (conn->response == NULL || conn->is_closing) {
                 return;
--- /dev/null
+++ b/tests/gateway/test_reset.c
@@ -0,0 +1,137 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+#include <uv.h>
+
+#include "common/http_client.h"
+#include "common/rc.h"
+
+/* Guards against an answer without a length that was reset on the way and
+ * passes for a whole one: libuv reports the end of the stream for both. */
+
+struct reset_test {
+    uv_loop_t loop;
+    uv_tcp_t listener;
+    uv_tcp_t peer;
+    uv_write_t write;
+    struct hcl_conn *conn;
+    bool is_reset; /* the peer resets instead of closing in order */
+    int rc;
+    size_t body_bytes;
+};
+
+static void
+on_response(struct hcl_conn *conn, const struct hcl_response *response,
+            void *ctx)
+{
+    struct reset_test *test = ctx;
+    test->rc = response->rc;
+    test->body_bytes = response->body_bytes;
+    hcl_close(conn);
+    uv_close((uv_handle_t *)&test->listener, NULL);
+}
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    struct reset_test *test = write->data;
+    assert_int_equal(status, 0);
+    if (test->is_reset) {
+        assert_int_equal(uv_tcp_close_reset(&test->peer, NULL), 0);
+    }
+    else {
+        uv_close((uv_handle_t *)&test->peer, NULL);
+    }
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    static char buffer[4096];
+    *buf = uv_buf_init(buffer, sizeof(buffer));
+}
+
+static void
+on_request(uv_stream_t *peer, ssize_t nread, const uv_buf_t *buf)
+{
+    struct reset_test *test = peer->data;
+    static char text[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab";
+    uv_buf_t out = uv_buf_init(text, strlen(text));
+    if (nread <= 0) {
+        return;
+    }
+    uv_read_stop(peer);
+    test->write.data = test;
+    assert_int_equal(uv_write(&test->write, peer, &out, 1, on_written), 0);
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+    struct reset_test *test = listener->data;
+    uv_tcp_init(&test->loop, &test->peer);
+    test->peer.data = test;
+    assert_int_equal(uv_accept(listener, (uv_stream_t *)&test->peer), 0);
+    uv_read_start((uv_stream_t *)&test->peer, on_alloc, on_request);
+}
+
+static void
+on_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    assert_int_equal(rc, RC_OK);
+    assert_int_equal(
+        hcl_request(conn, "GET", "/", NULL, NULL, 0, on_response, ctx), RC_OK);
+}
+
+static void
+run(struct reset_test *test)
+{
+    struct sockaddr_in address;
+    int address_bytes = sizeof(address);
+    char text[32];
+    uv_loop_init(&test->loop);
+    uv_tcp_init(&test->loop, &test->listener);
+    test->listener.data = test;
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_bind(&test->listener, (const struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&test->listener, 4, on_accept);
+    uv_tcp_getsockname(&test->listener, (struct sockaddr *)&address,
+                       &address_bytes);
+    (void)snprintf(text, sizeof(text), "127.0.0.1:%d",
+                   ntohs(address.sin_port));
+    assert_int_equal(hcl_connect(&test->loop, text, 1000, on_connected, NULL,
+                                 test, &test->conn),
+                     RC_OK);
+    uv_run(&test->loop, UV_RUN_DEFAULT);
+    uv_loop_close(&test->loop);
+}
+
+static void
+test_closed(void **state)
+{
+    struct reset_test test = {.is_reset = false};
+    run(&test);
+    assert_int_equal(test.rc, RC_OK);
+    assert_int_equal(test.body_bytes, 2);
+}
+
+static void
+test_reset(void **state)
+{
+    struct reset_test test = {.is_reset = true};
+    run(&test);
+    assert_int_equal(test.rc, RC_LINK_LOST);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_closed),
+        cmocka_unit_test(test_reset),
+    };
+    return cmocka_run_group_tests_name("gateway-reset", tests, NULL, NULL);
+}
