--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/rc.h"
 #include "gateway/ask.h"
+#include "gateway/member.h"
 #include "gateway/record.h"
 #include "gateway/share.h"
 
@@ -29,7 +30,7 @@
         .ctx = ctx,
         .counters = counters,
         .dc = g_strdup(dc),
-        .vms = 1,
+        .vms = MEM_UNKNOWN_COUNT,
         .drained_dcs =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .hedges =
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -17,6 +17,7 @@
 mem_init(struct mem *mem, const char *self)
 {
     mem->self = g_strdup(self);
+    mem->has_list = false;
     mem->vms =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mem_vm_free);
 }
@@ -76,6 +77,7 @@
 void
 mem_list_end(struct mem *mem, int64_t now_us)
 {
+    mem->has_list = true;
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, mem->vms);
@@ -137,7 +139,7 @@
             vm->heard_us > 0 && now_us - vm->heard_us < MEM_FORGET_US;
         count += vm->is_listed || is_recent ? 1 : 0;
     }
-    return count;
+    return mem->has_list ? count : MAX(count, MEM_UNKNOWN_COUNT);
 }
 
 const struct mem_vm *
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -92,9 +92,9 @@
     /* One call finds out whether the store answers again. */
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
-        feed->due_us =
-            MAX(feed->due_us,
-                i == (int)kind ? due_us : due_us + SYN_BACKOFF_MAX_US);
+        feed->due_us = i == (int)kind
+                           ? due_us
+                           : MAX(feed->due_us, due_us + SYN_BACKOFF_MAX_US);
     }
 }
 
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -45,8 +45,12 @@
 struct mem {
     char *self;
     GHashTable *vms; /* name -> struct mem_vm, without this VM */
+    bool has_list;   /* a list of the store was read */
 };
 
+/* VMs that are taken to be sending until the list of them was read. */
+#define MEM_UNKNOWN_COUNT 16
+
 /* A VM that was not heard of for this long is taken as dead: four heartbeats.
  */
 #define MEM_DEAD_US (2 * 1000 * 1000)
--- /dev/null
+++ b/tests/gateway/test_core.c
@@ -0,0 +1,470 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/rc.h"
+#include "gateway/gateway.h"
+#include "script.h"
+
+/* Scripted runs of the request path with fake links. Times are in
+ * milliseconds since the start of the script. */
+
+#define MS 1000
+/* The steady clock is never at 0. */
+#define EPOCH_US (1000LL * 1000 * 1000)
+
+struct core_test {
+    struct gtw gtw;
+    struct cnt_set *counters;
+    GHashTable *links; /* name -> struct bke_link */
+    GHashTable *asks;  /* id -> struct ask */
+    uint32_t link_count;
+    int64_t now_us;
+    double random;
+    GString *out;
+    struct gcf *draft;
+};
+
+static const char *
+link_name(struct core_test *test, const struct bke_link *link)
+{
+    GHashTableIter iter;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, test->links);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (value == link) {
+            return key;
+        }
+    }
+    return "?";
+}
+
+static int
+fake_connect(struct bke_link *link, void *ctx)
+{
+    struct core_test *test = ctx;
+    test->link_count += 1;
+    char *name = g_strdup_printf("l%u", test->link_count);
+    g_hash_table_insert(test->links, name, link);
+    g_string_append_printf(test->out, "connect %s to %s\n", name,
+                           link->backend->id);
+    return RC_OK;
+}
+
+static void
+fake_close(struct bke_link *link, void *ctx)
+{
+    struct core_test *test = ctx;
+    const char *name = link_name(test, link);
+    g_string_append_printf(test->out, "close %s\n", name);
+    g_hash_table_remove(test->links, name);
+}
+
+static int
+fake_send(struct bke_link *link, const struct ask_request *request,
+          int64_t left_us, void *ctx)
+{
+    struct core_test *test = ctx;
+    g_string_append_printf(test->out, "send %s on %s to %s left=%" PRId64 "\n",
+                           request->id, link_name(test, link),
+                           link->backend->id, left_us / MS);
+    return RC_OK;
+}
+
+static void
+fake_answer(void *request_ctx, const struct ask_answer *answer, void *ctx)
+{
+    struct core_test *test = ctx;
+    const char *id = request_ctx;
+    g_string_append_printf(test->out, "answer %s rc=%s", id,
+                           rc_name(answer->rc));
+    if (answer->stamps != NULL) {
+        g_string_append_printf(test->out, " parts=%u missing=%u records=%zu",
+                               answer->stamps->len, answer->missing_parts,
+                               answer->body_bytes / 16);
+    }
+    if (answer->status != 0) {
+        g_string_append_printf(test->out, " status=%d", answer->status);
+    }
+    g_string_append(test->out, "\n");
+    g_hash_table_remove(test->asks, id);
+}
+
+static double
+fake_random(void *ctx)
+{
+    const struct core_test *test = ctx;
+    return test->random;
+}
+
+static const struct gtw_calls fake_calls = {
+    .link = {.connect = fake_connect, .close = fake_close},
+    .send = fake_send,
+    .answer = fake_answer,
+    .random = fake_random,
+};
+
+/* > config VERSION: begins a configuration. */
+static void
+run_config(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->draft = gcf_new(scr_number(argc, argv, 1));
+    test->draft->limits.body_max_bytes = 1000;
+}
+
+/* > service NAME CONNECTIONS WARMUP_PER_S */
+static void
+run_service(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    struct gcf_service *service = g_new0(struct gcf_service, 1);
+    service->name = g_strdup(argv[1]);
+    service->connections_max = (uint32_t)scr_number(argc, argv, 2);
+    service->warmup_per_s = (double)scr_number(argc, argv, 3);
+    gcf_add_service(test->draft, service);
+}
+
+/* > route NAME PREFIX gather|single|once|split TIMEOUT OBJECTIVE ATTEMPTS
+ *   COVERAGE_PERMILLE SERVICE[=WEIGHT]... */
+static void
+run_route(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    struct gcf_route *route = gcf_route_new();
+    route->name = g_strdup(argv[1]);
+    route->host = g_strdup("h");
+    route->prefix = g_strdup(argv[2]);
+    route->is_gather = strcmp(argv[3], "gather") == 0;
+    route->is_idempotent = strcmp(argv[3], "once") != 0;
+    route->timeout_us = scr_number(argc, argv, 4) * MS;
+    route->objective_us = scr_number(argc, argv, 5) * MS;
+    route->attempts_max = (uint32_t)scr_number(argc, argv, 6);
+    route->coverage_min_permille = (uint32_t)scr_number(argc, argv, 7);
+    route->record_limit = 2;
+    for (int i = 8; i < argc; i++) {
+        char **pair = g_strsplit(argv[i], "=", 2);
+        struct gcf_target target = {
+            .service = gcf_find_service(test->draft, pair[0]),
+            .weight = pair[1] != NULL ? (uint32_t)atoi(pair[1]) : 1,
+        };
+        g_array_append_val(route->targets, target);
+        g_strfreev(pair);
+    }
+    gcf_add_route(test->draft, route);
+}
+
+static void
+run_adopt(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    g_string_append(out, rc_name(gtw_adopt(&test->gtw, test->draft)));
+    test->draft = NULL;
+}
+
+/* > backend ID SERVICE DC [draining|cold] */
+static void
+run_backend(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    bool is_cold = argc > 4 && strcmp(argv[4], "cold") == 0;
+    struct bke_entry entry = {
+        .id = argv[1],
+        .service = argv[2],
+        .address = "127.0.0.1:1",
+        .dc = argv[3],
+        .slots = 2,
+        .is_draining = argc > 4 && strcmp(argv[4], "draining") == 0,
+        .warmup_left_us = is_cold ? 60 * 1000 * MS : 0,
+    };
+    test->out = out;
+    bke_note(&test->gtw.backends, &entry, test->now_us);
+}
+
+/* > lapse ID IN_MS */
+static void
+run_lapse(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    bke_lapse(&test->gtw.backends, argv[1],
+              test->now_us + scr_number(argc, argv, 2) * MS);
+}
+
+/* > drain-dc DC in|out */
+static void
+run_drain_dc(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    if (strcmp(argv[2], "out") == 0) {
+        g_hash_table_add(test->gtw.drained_dcs, g_strdup(argv[1]));
+    }
+    else {
+        g_hash_table_remove(test->gtw.drained_dcs, argv[1]);
+    }
+}
+
+/* > vms COUNT EXTRA_PERMILLE EXTRA_COUNT */
+static void
+run_vms(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->gtw.vms = (uint32_t)scr_number(argc, argv, 1);
+    test->gtw.bounds = (struct gtw_bounds){
+        .extra_permille = (uint32_t)scr_number(argc, argv, 2),
+        .extra_count = (uint32_t)scr_number(argc, argv, 3),
+        .warmup_overshoot = 1.5,
+        .warmup_slack = 5,
+    };
+}
+
+/* > stale 0|1 */
+static void
+run_stale(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->gtw.is_config_stale = scr_number(argc, argv, 1) != 0;
+}
+
+/* > ask ID TARGET WAIT_MS [BODY_BYTES] */
+static void
+run_ask(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    char *id = g_strdup(argv[1]);
+    struct ask_request request = {
+        .method = "GET",
+        .target = argv[2],
+        .host = "h",
+        .id = id,
+        .fields = "",
+        .body = "",
+        .body_bytes = argc > 4 ? (size_t)scr_number(argc, argv, 4) : 0,
+        .deadline_us = test->now_us + scr_number(argc, argv, 3) * MS,
+        .ctx = id,
+    };
+    struct ask *ask = gtw_ask(&test->gtw, &request, test->now_us);
+    if (ask != NULL) {
+        g_hash_table_insert(test->asks, id, ask);
+    }
+    else {
+        g_free(id);
+    }
+}
+
+/* > gone ID: the caller leaves. */
+static void
+run_gone(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    gtw_abandon(&test->gtw, g_hash_table_lookup(test->asks, argv[1]),
+                test->now_us);
+    g_hash_table_remove(test->asks, argv[1]);
+}
+
+static struct bke_link *
+link_of(struct core_test *test, const char *name)
+{
+    struct bke_link *link = g_hash_table_lookup(test->links, name);
+    if (link == NULL) {
+        fail_msg("no link %s", name);
+    }
+    return link;
+}
+
+/* > up LINK... */
+static void
+run_up(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    for (int i = 1; i < argc; i++) {
+        gtw_on_connected(&test->gtw, link_of(test, argv[i]), RC_OK,
+                         test->now_us);
+    }
+}
+
+/* > reply LINK ok|shed|wrong|error [closes]: with two records. */
+static void
+run_reply(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    static const struct {
+        const char *name;
+        int rc;
+        int status;
+    } kinds[] = {
+        {"ok", RC_OK, 200},
+        {"shed", RC_SHED, 503},
+        {"wrong", RC_WRONG_BACKEND, 421},
+        {"error", RC_BACKEND_ERROR, 500},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        if (strcmp(kinds[i].name, argv[2]) != 0) {
+            continue;
+        }
+        struct att_answer answer = {
+            .rc = kinds[i].rc,
+            .status = kinds[i].status,
+            .stamp = argv[1],
+            .fields = "",
+            .body = "AAAAAAAAAAAAAAAABBBBBBBBBBBBBBBB",
+            .body_bytes = 32,
+            .is_reusable = argc <= 3,
+            .keepalive_us = 10000LL * MS,
+            .warmup_us = -1,
+        };
+        gtw_on_answer(&test->gtw, link_of(test, argv[1]), &answer,
+                      test->now_us);
+        return;
+    }
+    fail_msg("no reply %s", argv[2]);
+}
+
+/* > lost LINK RC */
+static void
+run_lost(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    gtw_on_lost(&test->gtw, link_of(test, argv[1]), rc_from_name(argv[2]),
+                test->now_us);
+}
+
+/* > wait MS: time passes; what is due is done at each millisecond. */
+static void
+run_wait(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    gint64 count = scr_number(argc, argv, 1);
+    for (gint64 i = 0; i < count; i++) {
+        test->now_us += MS;
+        if (gtw_due_us(&test->gtw) <= test->now_us) {
+            gsize before = out->len;
+            gtw_tick(&test->gtw, test->now_us);
+            if (out->len > before) {
+                char *when =
+                    g_strdup_printf("after %" PRId64 ":\n", (int64_t)i + 1);
+                g_string_insert(out, (gssize)before, when);
+                g_free(when);
+            }
+        }
+        bke_tick(&test->gtw.backends, test->now_us);
+    }
+}
+
+/* > split ROUTE COUNT: how many requests go to each target. */
+static void
+run_split(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    const struct gcf_route *route =
+        gcf_find_route(test->gtw.config, "h", argv[1]);
+    GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+    for (gint64 i = scr_number(argc, argv, 2); i > 0; i--) {
+        const struct gcf_target *target = gtw_split(&test->gtw, route);
+        gpointer count = g_hash_table_lookup(counts, target->service->name);
+        g_hash_table_insert(counts, target->service->name,
+                            GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+    }
+    for (guint i = 0; i < route->targets->len; i++) {
+        const char *name =
+            g_array_index(route->targets, struct gcf_target, i).service->name;
+        g_string_append_printf(
+            out, "%s=%d ", name,
+            GPOINTER_TO_INT(g_hash_table_lookup(counts, name)));
+    }
+    g_hash_table_destroy(counts);
+}
+
+/* > end-all: the process exits. */
+static void
+run_end_all(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->out = out;
+    gtw_end_all(&test->gtw, test->now_us);
+}
+
+/* > counter NAME REASON */
+static void
+run_counter(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    g_string_append_printf(
+        out, "%" PRIu64,
+        *cnt_get(test->counters, argv[1], argc > 2 ? argv[2] : NULL));
+}
+
+static void
+core_open(struct core_test *test)
+{
+    *test = (struct core_test){
+        .counters = cnt_set_new(),
+        .links = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .asks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .now_us = EPOCH_US,
+    };
+    gtw_init(&test->gtw, "d1", &fake_calls, test, test->counters);
+}
+
+static void
+core_close(struct core_test *test)
+{
+    GString *rest = g_string_new(NULL);
+    test->out = rest;
+    gtw_clear(&test->gtw);
+    g_hash_table_destroy(test->links);
+    g_hash_table_destroy(test->asks);
+    cnt_set_free(test->counters);
+    g_string_free(rest, TRUE);
+}
+
+/* > reset: forgets everything. */
+static void
+run_reset(void *ctx, int argc, char **argv, GString *out)
+{
+    core_close(ctx);
+    core_open(ctx);
+}
+
+static const struct scr_command commands[] = {
+    {"reset", run_reset},     {"config", run_config},
+    {"service", run_service}, {"route", run_route},
+    {"adopt", run_adopt},     {"backend", run_backend},
+    {"lapse", run_lapse},     {"drain-dc", run_drain_dc},
+    {"vms", run_vms},         {"stale", run_stale},
+    {"ask", run_ask},         {"gone", run_gone},
+    {"up", run_up},           {"reply", run_reply},
+    {"lost", run_lost},       {"wait", run_wait},
+    {"split", run_split},     {"end-all", run_end_all},
+    {"counter", run_counter},
+};
+
+static void
+test_core(void **state)
+{
+    struct core_test test;
+    core_open(&test);
+    assert_int_equal(scr_run(SCRIPT_DIR "/core.txt", commands,
+                             G_N_ELEMENTS(commands), &test),
+                     0);
+    core_close(&test);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_core),
+    };
+    return cmocka_run_group_tests_name("gateway-core", tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/gateway/test_modules.c
@@ -0,0 +1,328 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/rc.h"
+#include "gateway/finish.h"
+#include "gateway/member.h"
+#include "gateway/record.h"
+#include "gateway/settings.h"
+#include "gateway/share.h"
+#include "gateway/sync.h"
+#include "script.h"
+
+/* Times in the scripts are milliseconds. */
+#define MS 1000
+
+struct module_test {
+    struct mem mem;
+    struct syn syn;
+    GString *out;
+    struct syn_fetch fetches[MEM_KIND_COUNT];
+    char *peers[MEM_KIND_COUNT]; /* copies of what the fetches name */
+};
+
+static const char *const kinds[] = {"config", "backends", "drained"};
+
+static enum mem_kind
+kind_of(const char *name)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        if (strcmp(kinds[i], name) == 0) {
+            return i;
+        }
+    }
+    fail_msg("no kind %s", name);
+    return MEM_KIND_COUNT;
+}
+
+/* > finish NOW OBJECTIVE DEADLINE PARTS DONE FAILED COVERAGE_PERMILLE */
+static void
+run_finish(void *ctx, int argc, char **argv, GString *out)
+{
+    static const char *const names[] = {"wait", "answer", "fail"};
+    struct fin_state state = {
+        .objective_us = scr_number(argc, argv, 2) * MS,
+        .deadline_us = scr_number(argc, argv, 3) * MS,
+        .parts = (uint32_t)scr_number(argc, argv, 4),
+        .done = (uint32_t)scr_number(argc, argv, 5),
+        .failed = (uint32_t)scr_number(argc, argv, 6),
+        .coverage_min_permille = (uint32_t)scr_number(argc, argv, 7),
+    };
+    int64_t now_us = scr_number(argc, argv, 1) * MS;
+    g_string_append(out, names[fin_judge(&state, now_us)]);
+}
+
+/* > share MAX PER_S EXTRA VMS */
+static void
+run_share(void *ctx, int argc, char **argv, GString *out)
+{
+    uint32_t vms = (uint32_t)scr_number(argc, argv, 4);
+    g_string_append_printf(
+        out, "connections=%u cold_per_s=%u extra=%u",
+        shr_connections((uint32_t)scr_number(argc, argv, 1), vms),
+        shr_cold_per_s((double)scr_number(argc, argv, 2), 1.5, 5, vms),
+        shr_extra_sends((uint32_t)scr_number(argc, argv, 3), vms));
+}
+
+/* > records LIMIT BODY...: each part's records as one letter each. */
+static void
+run_records(void *ctx, int argc, char **argv, GString *out)
+{
+    GByteArray *records = g_byte_array_new();
+    for (int i = 2; i < argc; i++) {
+        GString *body = g_string_new(NULL);
+        for (const char *at = argv[i]; *at != '\0'; at++) {
+            for (int j = 0; j < (*at == '-' ? 5 : REC_BYTES); j++) {
+                g_string_append_c(body, *at);
+            }
+        }
+        rec_add(records, body->str, body->len);
+        g_string_free(body, TRUE);
+    }
+    rec_finish(records, (uint32_t)scr_number(argc, argv, 1));
+    for (guint i = 0; i < records->len; i += REC_BYTES) {
+        g_string_append_c(out, (char)records->data[i]);
+    }
+    g_byte_array_free(records, TRUE);
+}
+
+/* > mem-list NOW NAME... */
+static void
+run_mem_list(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    mem_list_begin(&test->mem);
+    for (int i = 2; i < argc; i++) {
+        mem_list_note(&test->mem, argv[i], "127.0.0.1:1");
+    }
+    mem_list_end(&test->mem, scr_number(argc, argv, 1) * MS);
+}
+
+/* > beat NOW NAME START READY CONFIG_CHANGE */
+static void
+run_beat(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    struct mem_beat beat = {
+        .name = argv[2],
+        .start = (uint64_t)scr_number(argc, argv, 3),
+        .dc = "d1",
+        .request_address = argv[2],
+        .peer_address = argv[2],
+        .is_ready = scr_number(argc, argv, 4) != 0,
+        .changes = {[MEM_CONFIG] = scr_number(argc, argv, 5)},
+    };
+    int64_t own[MEM_KIND_COUNT];
+    syn_changes(&test->syn, own);
+    mem_on_beat(&test->mem, &beat, own, scr_number(argc, argv, 1) * MS);
+}
+
+/* > mem NOW */
+static void
+run_mem(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    int64_t now_us = scr_number(argc, argv, 1) * MS;
+    GPtrArray *addresses = g_ptr_array_new();
+    mem_addresses(&test->mem, now_us, addresses);
+    g_string_append_printf(out, "senders=%u addresses=%u",
+                           mem_sender_count(&test->mem, now_us),
+                           addresses->len);
+    g_ptr_array_free(addresses, TRUE);
+}
+
+static void
+fake_fetch(const struct syn_fetch *fetch, void *ctx)
+{
+    struct module_test *test = ctx;
+    test->fetches[fetch->kind] = *fetch;
+    g_free(test->peers[fetch->kind]);
+    test->peers[fetch->kind] = g_strdup(fetch->peer);
+    test->fetches[fetch->kind].peer = test->peers[fetch->kind];
+    g_string_append_printf(test->out, "fetch %s %s", kinds[fetch->kind],
+                           fetch->is_watch ? "watch" : "list");
+    if (fetch->is_watch) {
+        g_string_append_printf(test->out, " from=%" PRId64, fetch->revision);
+    }
+    if (fetch->after != NULL) {
+        g_string_append_printf(test->out, " after=%s", fetch->after);
+    }
+    if (fetch->peer != NULL) {
+        g_string_append_printf(test->out, " of=%s", fetch->peer);
+    }
+    g_string_append_c(test->out, '\n');
+}
+
+static void
+fake_apply(enum mem_kind kind, const struct syn_object *object,
+           int64_t remove_us, int64_t now_us, void *ctx)
+{
+    struct module_test *test = ctx;
+    if (object->is_deleted) {
+        g_string_append_printf(test->out, "gone %s %s in=%" PRId64 "\n",
+                               kinds[kind], object->name,
+                               (remove_us - now_us) / MS);
+    }
+    else {
+        g_string_append_printf(test->out, "set %s %s\n", kinds[kind],
+                               object->name);
+    }
+}
+
+static const struct syn_calls fake_calls = {
+    .fetch = fake_fetch,
+    .apply = fake_apply,
+};
+
+/* > tick NOW */
+static void
+run_tick(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    test->out = out;
+    syn_tick(&test->syn, &test->mem, scr_number(argc, argv, 1) * MS);
+}
+
+/* > reply NOW KIND RC CURRENT [more] [NAME@REVISION | -NAME@REVISION]... */
+static void
+run_reply(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    test->out = out;
+    enum mem_kind kind = kind_of(argv[2]);
+    struct syn_object objects[8];
+    char *names[8];
+    size_t count = 0;
+    bool has_more = false;
+    for (int i = 5; i < argc; i++) {
+        if (strcmp(argv[i], "more") == 0) {
+            has_more = true;
+            continue;
+        }
+        bool is_deleted = argv[i][0] == '-';
+        char **pair = g_strsplit(argv[i] + is_deleted, "@", 2);
+        names[count] = g_strdup(pair[0]);
+        objects[count] = (struct syn_object){
+            .name = names[count],
+            .revision = g_ascii_strtoll(pair[1], NULL, 10),
+            .is_deleted = is_deleted,
+            .spec = is_deleted ? NULL : json_true(),
+        };
+        count += 1;
+        g_strfreev(pair);
+    }
+    struct syn_reply reply = {
+        .rc = rc_from_name(argv[3]),
+        .objects = objects,
+        .object_count = count,
+        .has_more = has_more,
+        .current_revision = scr_number(argc, argv, 4),
+    };
+    syn_on_reply(&test->syn, &test->fetches[kind], &reply,
+                 scr_number(argc, argv, 1) * MS);
+    for (size_t i = 0; i < count; i++) {
+        g_free(names[i]);
+    }
+}
+
+/* > stale NOW AGE */
+static void
+run_stale(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    bool is_stale = syn_is_stale(&test->syn, scr_number(argc, argv, 2) * MS,
+                                 scr_number(argc, argv, 1) * MS);
+    g_string_append(out, is_stale ? "stale" : "fresh");
+}
+
+static void
+module_open(struct module_test *test)
+{
+    *test = (struct module_test){.out = NULL};
+    mem_init(&test->mem, "self");
+    syn_init(&test->syn, &fake_calls, test);
+}
+
+static void
+module_close(struct module_test *test)
+{
+    mem_clear(&test->mem);
+    syn_clear(&test->syn);
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        g_free(test->peers[i]);
+    }
+}
+
+static void
+run_reset(void *ctx, int argc, char **argv, GString *out)
+{
+    module_close(ctx);
+    module_open(ctx);
+}
+
+static const char settings_good[] =
+    "[vm]\nname = v1\ndata_centre = d1\nip = 127.0.0.1\n"
+    "[listen]\nrequests = 127.0.0.1:1\nready = 127.0.0.1:2\n"
+    "directory = 127.0.0.1:3\npeer_port = 4\nmetrics_port = 0\n"
+    "[store]\naddress = 127.0.0.1:5\n[stop]\ngrace_s = 6\n"
+    "[retries]\nextra_ratio = 0.2\nextra_count = 52\n"
+    "[warmup]\novershoot_ratio = 1.5\nslack = 5\n"
+    "[config]\napply_ms = 3000\n[directory]\nttl_max_s = 5\n";
+
+/* > settings [OLD NEW]: reads a good file in which OLD is replaced. */
+static void
+run_settings(void *ctx, int argc, char **argv, GString *out)
+{
+    char **parts = g_strsplit(settings_good, argc > 1 ? argv[1] : "\001", 2);
+    char *text = g_strjoinv(argc > 2 ? argv[2] : "", parts);
+    char *path = NULL;
+    int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+    g_file_set_contents(path, text, -1, NULL);
+    struct stg settings;
+    int rc = stg_read(path, &settings);
+    g_string_append(out, rc_name(rc));
+    if (rc == RC_OK) {
+        g_string_append_printf(out, " grace_ms=%" PRId64 " extra=%" PRId64,
+                               settings.grace_ms, settings.extra_permille);
+    }
+    stg_clear(&settings);
+    (void)close(fd);
+    (void)remove(path);
+    g_free(path);
+    g_free(text);
+    g_strfreev(parts);
+}
+
+static const struct scr_command commands[] = {
+    {"finish", run_finish},     {"share", run_share},
+    {"records", run_records},   {"mem-list", run_mem_list},
+    {"beat", run_beat},         {"mem", run_mem},
+    {"tick", run_tick},         {"reply", run_reply},
+    {"stale", run_stale},       {"reset", run_reset},
+    {"settings", run_settings},
+};
+
+static void
+test_modules(void **state)
+{
+    struct module_test test;
+    module_open(&test);
+    assert_int_equal(scr_run(SCRIPT_DIR "/modules.txt", commands,
+                             G_N_ELEMENTS(commands), &test),
+                     0);
+    module_close(&test);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_modules),
+    };
+    return cmocka_run_group_tests_name("gateway-modules", tests, NULL, NULL);
+}
