gateway: choose by failure rate and a robust latency, probe slow replicas

Change: a moving average of failures adds to the expected time; a latency counts as at most three times the average; a replica that was not chosen for 1 s gets one request at a time as a probe.

--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -3,8 +3,14 @@
 #include "common/rc.h"
 #include "gateway/backend.h"
 
-/* Weight of a new latency in the moving average: 1 in 8. */
-#define BKE_LATENCY_WEIGHT 8
+/* Weight of a new value in the moving averages: 1 in 8. */
+#define BKE_AVERAGE_WEIGHT 8
+/* A single pause must not make a backend server look slow: a latency counts
+ * as at most this many times the average. */
+#define BKE_LATENCY_MAX_FACTOR 3
+/* One that answers in less than this share of the average is fast again. */
+#define BKE_LATENCY_FAST_DIVISOR 2
+#define BKE_PERMILLE 1000
 /* Time that a backend server is avoided after BKE_FAIL_RUN failures; it
  * doubles with each further one. */
 #define BKE_AVOID_MIN_US (250 * 1000)
@@ -276,24 +282,43 @@
     bke_unref(backend);
 }
 
-void
-bke_on_answer(struct bke *backend, int64_t latency_us, int64_t now_us)
+/* The average after one more latency. */
+static int64_t
+bke_average_us(int64_t average_us, int64_t latency_us)
 {
-    if (backend->latency_us == 0) {
-        backend->latency_us = latency_us;
+    if (average_us == 0) {
+        return latency_us;
     }
-    else {
-        backend->latency_us +=
-            (latency_us - backend->latency_us) / BKE_LATENCY_WEIGHT;
+    if (latency_us < average_us / BKE_LATENCY_FAST_DIVISOR) {
+        return (average_us + latency_us) / 2;
     }
+    int64_t counted_us = MIN(latency_us, average_us * BKE_LATENCY_MAX_FACTOR);
+    return average_us + (counted_us - average_us) / BKE_AVERAGE_WEIGHT;
+}
+
+static void
+bke_note_result(struct bke *backend, bool is_failure)
+{
+    uint32_t rest =
+        backend->fail_permille - backend->fail_permille / BKE_AVERAGE_WEIGHT;
+    backend->fail_permille =
+        rest + (is_failure ? BKE_PERMILLE / BKE_AVERAGE_WEIGHT : 0);
+}
+
+void
+bke_on_answer(struct bke *backend, int64_t latency_us, int64_t now_us)
+{
+    backend->latency_us = bke_average_us(backend->latency_us, latency_us);
     backend->fail_run = 0;
     backend->avoid_us = 0;
     backend->answered_us = now_us;
+    bke_note_result(backend, false);
 }
 
 void
 bke_on_failure(struct bke *backend, int64_t now_us)
 {
+    bke_note_result(backend, true);
     backend->fail_run += 1;
     if (backend->fail_run < BKE_FAIL_RUN) {
         return;
@@ -306,6 +331,7 @@
 void
 bke_on_shed(struct bke *backend, int64_t now_us)
 {
+    bke_note_result(backend, true);
     backend->avoid_us = MAX(backend->avoid_us, now_us + BKE_SHED_AVOID_US);
 }
 
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -12,9 +12,12 @@
 #define CHS_PENALTY_US (1000 * 1000)
 /* Added for one in another data centre: its bytes cost more. */
 #define CHS_REMOTE_US (500)
-/* An estimate loses half of its weight when unused for this long, so that a
- * backend server that was slow is tried again. */
-#define CHS_FORGET_US (1500 * 1000)
+/* What a request that fails costs, on average. */
+#define CHS_FAILURE_US (40 * 1000)
+#define CHS_PERMILLE 1000
+/* One that got nothing for this long gets one request in CHS_PROBE_SHARE. */
+#define CHS_PROBE_IVL_US (1000 * 1000)
+#define CHS_PROBE_SHARE 0.15
 /* Replicas whose expected times differ by less are as good as each other. */
 #define CHS_EQUAL_PERMILLE 1500
 #define CHS_EQUAL_US 1000
@@ -70,10 +73,6 @@
 {
     int64_t latency_us =
         backend->latency_us > 0 ? backend->latency_us : CHS_DEFAULT_LATENCY_US;
-    int64_t unused_us = now_us - backend->answered_us;
-    if (unused_us > CHS_FORGET_US) {
-        latency_us = latency_us * CHS_FORGET_US / unused_us;
-    }
     uint32_t slots = MAX(backend->slots, 1);
     int64_t cost_us =
         latency_us + latency_us * bke_busy_count(backend) / slots;
@@ -82,6 +81,7 @@
         oldest_us > latency_us * CHS_PAUSE_FACTOR) {
         cost_us += oldest_us;
     }
+    cost_us += (int64_t)backend->fail_permille * CHS_FAILURE_US / CHS_PERMILLE;
     if (g_strcmp0(backend->dc, request->dc) != 0) {
         cost_us += CHS_REMOTE_US;
     }
@@ -114,6 +114,22 @@
     return RC_OK;
 }
 
+/* One that is due to be looked at again, or NULL. */
+static struct bke *
+chs_probe(const struct chs_candidate *candidates, uint32_t count,
+          int64_t now_us)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        struct bke *backend = candidates[i].backend;
+        if (backend->chosen_us > 0 &&
+            now_us - backend->chosen_us >= CHS_PROBE_IVL_US &&
+            now_us >= backend->avoid_us && bke_busy_count(backend) == 0) {
+            return backend;
+        }
+    }
+    return NULL;
+}
+
 static struct bke *
 chs_pick(const struct chs_candidate *candidates, uint32_t count, double random)
 {
@@ -160,7 +176,14 @@
     if (count == 0) {
         return rc;
     }
-    *out = chs_pick(candidates, count, request->random);
+    struct bke *probed = NULL;
+    double random = request->random;
+    if (request->may_probe && random < CHS_PROBE_SHARE) {
+        probed = chs_probe(candidates, count, now_us);
+        random /= CHS_PROBE_SHARE;
+    }
+    *out = probed != NULL ? probed : chs_pick(candidates, count, random);
+    (*out)->chosen_us = now_us;
     return RC_OK;
 }
 
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -91,6 +91,8 @@
                    .warmup_slack = gtw->bounds.warmup_slack},
         .tried_count = part->attempt_count,
         .is_strict = is_strict,
+        .may_probe =
+            part->ask->route->is_idempotent && part->attempt_count == 0,
         .random = gtw->calls->random(gtw->ctx),
     };
     for (uint32_t i = 0; i < part->attempt_count; i++) {
@@ -164,17 +166,18 @@
 static void
 prt_try(struct prt *part, int64_t now_us)
 {
-    int rc = part->rc;
     while (prt_may_try(part)) {
         struct bke *backend = NULL;
-        rc = prt_choose(part, !part->ask->route->is_idempotent, now_us,
-                        &backend);
+        int rc = prt_choose(part, !part->ask->route->is_idempotent, now_us,
+                            &backend);
         if (rc == RC_LIMIT) {
             part->retry_us = now_us + PRT_RETRY_US;
             part->rc = rc;
             return;
         }
         if (rc != RC_OK) {
+            /* Why the last attempt failed says more. */
+            part->rc = part->attempt_count > 0 ? part->rc : rc;
             break;
         }
         if (prt_attempt(part, backend, false, now_us)) {
@@ -182,11 +185,11 @@
             return;
         }
         bke_on_failure(backend, now_us);
-        rc = RC_LINK_FAILED;
+        part->rc = RC_LINK_FAILED;
     }
     part->retry_us = 0;
     if (!prt_is_waiting(part)) {
-        prt_fail(part, rc);
+        prt_fail(part, part->rc);
     }
 }
 
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -55,12 +55,14 @@
     int64_t warm_us;   /* cold until then */
     int64_t remove_us; /* when a lapsed entry is taken as gone, 0: it is not */
     bool is_removed;
-    GPtrArray *links;    /* of struct bke_link */
-    int64_t latency_us;  /* moving average of answered requests */
-    uint32_t fail_run;   /* failures in a row */
-    int64_t avoid_us;    /* not chosen before then if another one can be */
-    int64_t answered_us; /* last answer */
-    int64_t wrong_id_us; /* when its address answered for another one */
+    GPtrArray *links;       /* of struct bke_link */
+    int64_t latency_us;     /* moving average of answered requests */
+    uint32_t fail_permille; /* moving average of requests without an answer */
+    uint32_t fail_run;      /* failures in a row */
+    int64_t chosen_us;      /* when it last got a request */
+    int64_t avoid_us;       /* not chosen before then if another one can be */
+    int64_t answered_us;    /* last answer */
+    int64_t wrong_id_us;    /* when its address answered for another one */
     struct bke_cold cold;
 };
 
--- a/include/gateway/choose.h
+++ b/include/gateway/choose.h
@@ -26,6 +26,8 @@
     const struct bke *tried[CHS_TRIED_MAX];
     uint32_t tried_count;
     bool is_strict; /* never one that was tried */
+    bool may_probe; /* may go to one that was slow, to see whether it still is
+                     */
     double random;  /* 0 to 1, chooses among replicas that are as good */
 };
 
