--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -10,8 +10,6 @@
 #define CHS_PAUSE_MIN_US (25 * 1000)
 /* Added for a backend server that should only be used when no other can. */
 #define CHS_PENALTY_US (1000 * 1000)
-/* Added for one in another data centre: its bytes cost more. */
-#define CHS_REMOTE_US (500)
 /* What a request that fails costs, on average. */
 #define CHS_FAILURE_US (40 * 1000)
 #define CHS_PERMILLE 1000
@@ -27,6 +25,7 @@
 struct chs_candidate {
     struct bke *backend;
     int64_t cost_us;
+    bool is_remote; /* in another data centre */
 };
 
 static bool
@@ -82,9 +81,6 @@
         cost_us += oldest_us;
     }
     cost_us += (int64_t)backend->fail_permille * CHS_FAILURE_US / CHS_PERMILLE;
-    if (g_strcmp0(backend->dc, request->dc) != 0) {
-        cost_us += CHS_REMOTE_US;
-    }
     if (now_us < backend->avoid_us || backend->remove_us > 0) {
         cost_us += CHS_PENALTY_US;
     }
@@ -130,6 +126,10 @@
     return NULL;
 }
 
+/*
+ * One of those with about the shortest time. Traffic between data centres is
+ * priced, so that those in this one go first.
+ */
 static struct bke *
 chs_pick(const struct chs_candidate *candidates, uint32_t count, double random)
 {
@@ -140,11 +140,18 @@
     int64_t limit_us = best_us * CHS_EQUAL_PERMILLE / 1000 + CHS_EQUAL_US;
     uint32_t equal[CHS_CANDIDATES_MAX];
     uint32_t equal_count = 0;
+    bool is_remote = true;
     for (uint32_t i = 0; i < count; i++) {
-        if (candidates[i].cost_us <= limit_us) {
-            equal[equal_count] = i;
-            equal_count += 1;
+        if (candidates[i].cost_us > limit_us ||
+            (candidates[i].is_remote && !is_remote)) {
+            continue;
+        }
+        if (is_remote && !candidates[i].is_remote) {
+            is_remote = false;
+            equal_count = 0;
         }
+        equal[equal_count] = i;
+        equal_count += 1;
     }
     uint32_t chosen = (uint32_t)(random * equal_count);
     return candidates[equal[MIN(chosen, equal_count - 1)]].backend;
@@ -169,6 +176,7 @@
             candidates[count] = (struct chs_candidate){
                 .backend = backend,
                 .cost_us = chs_cost_us(request, backend, now_us),
+                .is_remote = g_strcmp0(backend->dc, request->dc) != 0,
             };
             count += 1;
         }
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -3,9 +3,8 @@
 #include "gateway/share.h"
 
 /* A VM that loses power leaves its connections open at the backend servers,
- * and its next process opens as many: half of the connections and a tenth of
- * the rest are left for those. */
-#define SHR_CONNECTIONS_PERMILLE 450
+ * and its next process opens new ones: two fifths are left for those. */
+#define SHR_CONNECTIONS_PERMILLE 600
 /* A VM that restarts starts with a full budget, so that within one window it
  * can spend its share twice. */
 #define SHR_RESTARTS 2
