gateway: count the objective from what the caller has already spent

Cause: a caller's first connection costs it up to 28 ms before its request arrives (X-Request-Deadline-Ms 1472 of 1500 in a trace), and a repeated request comes later still. Counted from the arrival, such an answer was ready in time and late at the caller.

Change: all callers of a route wait equally long, so the longest wait seen less the wait of this request is time already spent. With that 12 ms instead of 16 ms are kept for the way back.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -179,7 +179,9 @@
 {
     int64_t objective_us = ask->route->objective_us;
     return (struct fin_state){
-        .objective_us = objective_us > 0 ? ask->started_us + objective_us : 0,
+        .objective_us = objective_us > 0
+                            ? ask->started_us - ask->spent_us + objective_us
+                            : 0,
         .deadline_us = ask->deadline_us,
         .parts = ask->part_count,
         .done = ask->done_count,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -33,7 +33,7 @@
         .vms = MEM_UNKNOWN_COUNT,
         .drained_dcs =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-        .hedges =
+        .routes =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
         .budgets =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
@@ -53,7 +53,7 @@
     bke_set_clear(&gtw->backends);
     gcf_unref(gtw->config);
     g_hash_table_destroy(gtw->drained_dcs);
-    g_hash_table_destroy(gtw->hedges);
+    g_hash_table_destroy(gtw->routes);
     g_hash_table_destroy(gtw->budgets);
     g_hash_table_destroy(gtw->splits);
     g_free(gtw->dc);
@@ -77,16 +77,31 @@
     return RC_OK;
 }
 
-struct hdg *
-gtw_hedge(struct gtw *gtw, const struct gcf_route *route)
+struct gtw_route *
+gtw_route(struct gtw *gtw, const struct gcf_route *route)
 {
-    struct hdg *hedge = g_hash_table_lookup(gtw->hedges, route->name);
-    if (hedge == NULL) {
-        hedge = g_new0(struct hdg, 1);
-        hdg_init(hedge, gtw->bounds.extra_permille);
-        g_hash_table_insert(gtw->hedges, g_strdup(route->name), hedge);
+    struct gtw_route *known = g_hash_table_lookup(gtw->routes, route->name);
+    if (known == NULL) {
+        known = g_new0(struct gtw_route, 1);
+        hdg_init(&known->hedge, gtw->bounds.extra_permille);
+        g_hash_table_insert(gtw->routes, g_strdup(route->name), known);
     }
-    return hedge;
+    return known;
+}
+
+/*
+ * Time that the caller has already spent on earlier tries and on connecting:
+ * it says how long it still waits, and all callers of a route wait as long.
+ * Beyond the objective the difference says nothing, since it is lost or the
+ * caller is of another kind.
+ */
+static int64_t
+gtw_spent_us(struct gtw *gtw, const struct gcf_route *route, int64_t wait_us)
+{
+    struct gtw_route *known = gtw_route(gtw, route);
+    known->wait_max_us = MAX(known->wait_max_us, wait_us);
+    int64_t spent_us = known->wait_max_us - wait_us;
+    return spent_us < route->objective_us ? spent_us : 0;
 }
 
 struct bgt *
@@ -144,6 +159,10 @@
     ask->route = route;
     ask->started_us = now_us;
     ask->deadline_us = MIN(request->deadline_us, now_us + route->timeout_us);
+    if (request->deadline_us < INT64_MAX) {
+        ask->spent_us =
+            gtw_spent_us(gtw, route, request->deadline_us - now_us);
+    }
     ask->due_us = ask->deadline_us;
     ask->part_count = route->is_gather ? route->targets->len : 1;
     ask->parts = g_new0(struct prt, ask->part_count);
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -242,7 +242,7 @@
     if (last->link == NULL) {
         return INT64_MAX;
     }
-    struct hdg *hedge = gtw_hedge(ask->gtw, ask->route);
+    struct hdg *hedge = &gtw_route(ask->gtw, ask->route)->hedge;
     int64_t budget_us = ask->route->objective_us > 0
                             ? ask->route->objective_us
                             : ask->deadline_us - ask->started_us;
@@ -384,7 +384,7 @@
     part->state = PRT_DONE;
     part->stamp = g_strdup(answer->stamp);
     ask->done_count += 1;
-    hdg_note(gtw_hedge(ask->gtw, ask->route),
+    hdg_note(&gtw_route(ask->gtw, ask->route)->hedge,
              now_us - part->attempts[0].started_us);
     prt_abandon(part, PRT_KEEP_US, now_us);
 }
--- a/include/gateway/ask.h
+++ b/include/gateway/ask.h
@@ -46,6 +46,7 @@
     struct gcf *config;
     const struct gcf_route *route;
     int64_t started_us;
+    int64_t spent_us; /* by the caller before the request arrived */
     int64_t deadline_us;
     struct prt *parts;
     uint32_t part_count;
--- a/include/gateway/finish.h
+++ b/include/gateway/finish.h
@@ -25,9 +25,8 @@
     uint32_t coverage_min_permille;
 };
 
-/* Kept for the way to the caller and back, on a new connection, and the merge.
- */
-#define FIN_RETURN_US (16 * 1000)
+/* Kept for the way to the caller and back, and the merge. */
+#define FIN_RETURN_US (12 * 1000)
 
 enum fin_verdict fin_judge(const struct fin_state *state, int64_t now_us);
 
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -80,6 +80,12 @@
     uint32_t warmup_slack;
 };
 
+/* What is known of the requests on a route. */
+struct gtw_route {
+    struct hdg hedge;
+    int64_t wait_max_us; /* the longest that callers wait, 0: not told */
+};
+
 struct gtw {
     const struct gtw_calls *calls;
     void *ctx;
@@ -90,7 +96,7 @@
     struct gcf *config; /* NULL until the first one */
     struct bke_set backends;
     GHashTable *drained_dcs; /* set of names */
-    GHashTable *hedges;      /* route name -> struct hdg */
+    GHashTable *routes;      /* route name -> struct gtw_route */
     GHashTable *budgets;     /* service name -> struct bgt */
     GHashTable *splits;      /* route name -> struct spl */
     GQueue asks;             /* of struct ask */
@@ -138,8 +144,8 @@
 /* Ends all requests that are open, before the process exits. */
 void gtw_end_all(struct gtw *gtw, int64_t now_us);
 
-/* The table of what is known of a route's latency. */
-struct hdg *gtw_hedge(struct gtw *gtw, const struct gcf_route *route);
+/* What is known of a route, kept across configurations. */
+struct gtw_route *gtw_route(struct gtw *gtw, const struct gcf_route *route);
 
 /* The budget of extra sends to a service. */
 struct bgt *gtw_budget(struct gtw *gtw, const struct gcf_service *service);
