gateway: keep the queue of a loaded backend server here

Change: a server that takes 2.5 times the usual time of the route gets this VM's share of four requests; further parts wait here.

sync: shorter time-outs while nothing is known

Change: 600 ms and 1 s until each kind was read, pauses of 250 ms at most; a call that timed out while another one was answered is no outage.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -13,6 +13,8 @@
 /* What a request that fails costs, on average. */
 #define CHS_FAILURE_US (40 * 1000)
 #define CHS_PERMILLE 1000
+/* One whose answers take this many times the usual time has a queue. */
+#define CHS_LOADED_PERMILLE 2500
 /* One that got nothing for this long gets one request in CHS_PROBE_SHARE. */
 #define CHS_PROBE_IVL_US (1000 * 1000)
 #define CHS_PROBE_SHARE 0.15
@@ -55,12 +57,31 @@
     return backend->cold.count >= share;
 }
 
+/*
+ * Whether requests queue at the backend server: it takes much longer than is
+ * usual on the route. Requests wait better here, where those that are given
+ * up cost it nothing.
+ */
+static bool
+chs_is_loaded(const struct chs_request *request, const struct bke *backend)
+{
+    return request->norm_us > 0 &&
+           backend->latency_us >
+               request->norm_us * CHS_LOADED_PERMILLE / CHS_PERMILLE;
+}
+
 static bool
 chs_has_link(const struct chs_request *request, const struct bke *backend,
              int64_t now_us)
 {
     uint32_t share = shr_connections(request->service->connections_max,
                                      request->bounds.vms);
+    if (chs_is_loaded(request, backend)) {
+        uint32_t limit = shr_requests(backend->slots, request->bounds.vms);
+        if (bke_busy_count(backend) >= limit) {
+            return false;
+        }
+    }
     return bke_idle_link(backend, now_us) != NULL ||
            backend->links->len < share;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -7,6 +7,11 @@
 #include "gateway/record.h"
 #include "gateway/share.h"
 
+/* Weight of a part in a route's usual time, and how many times that time one
+ * part counts at most. */
+#define GTW_NORM_WEIGHT 64
+#define GTW_NORM_MAX_FACTOR 3
+
 /* State of smooth weighted round robin over a route's targets. */
 struct spl {
     int64_t *current;
@@ -89,6 +94,18 @@
     return known;
 }
 
+void
+gtw_note_part(struct gtw_route *known, int64_t took_us)
+{
+    hdg_note(&known->hedge, took_us);
+    if (known->norm_us == 0) {
+        known->norm_us = took_us;
+        return;
+    }
+    int64_t counted_us = MIN(took_us, known->norm_us * GTW_NORM_MAX_FACTOR);
+    known->norm_us += (counted_us - known->norm_us) / GTW_NORM_WEIGHT;
+}
+
 /*
  * Time that the caller has already spent on earlier tries and on connecting:
  * it says how long it still waits, and all callers of a route wait as long.
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -90,6 +90,7 @@
                    .warmup_overshoot = gtw->bounds.warmup_overshoot,
                    .warmup_slack = gtw->bounds.warmup_slack},
         .tried_count = part->attempt_count,
+        .norm_us = gtw_route(gtw, part->ask->route)->norm_us,
         .is_strict = is_strict,
         .may_probe =
             part->ask->route->is_idempotent && part->attempt_count == 0,
@@ -384,8 +385,8 @@
     part->state = PRT_DONE;
     part->stamp = g_strdup(answer->stamp);
     ask->done_count += 1;
-    hdg_note(&gtw_route(ask->gtw, ask->route)->hedge,
-             now_us - part->attempts[0].started_us);
+    gtw_note_part(gtw_route(ask->gtw, ask->route),
+                  now_us - part->attempts[0].started_us);
     prt_abandon(part, PRT_KEEP_US, now_us);
 }
 
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -8,6 +8,8 @@
 /* A VM that restarts starts with a full budget, so that within one window it
  * can spend its share twice. */
 #define SHR_RESTARTS 2
+/* One request runs in a slot and one waits for it. */
+#define SHR_SLOT_REQUESTS 2
 
 uint32_t
 shr_connections(uint32_t max, uint32_t vms)
@@ -17,6 +19,12 @@
     return MAX(usable / MAX(vms, 1), 1);
 }
 
+uint32_t
+shr_requests(uint32_t slots, uint32_t vms)
+{
+    return MAX(slots * SHR_SLOT_REQUESTS / MAX(vms, 1), 1);
+}
+
 uint32_t
 shr_cold_per_s(double per_s, double overshoot, uint32_t slack, uint32_t vms)
 {
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -78,6 +78,34 @@
     syn->calls->fetch(&fetch, syn->ctx);
 }
 
+/* Whether each kind was read since the process started. */
+static bool
+syn_has_all(const struct syn *syn)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        if (!syn->feeds[i].has_list) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* How long a reply may take. */
+static int64_t
+syn_timeout_us(const struct syn *syn, const struct syn_feed *feed)
+{
+    if (feed->is_from_peer) {
+        return SYN_TIMEOUT_US;
+    }
+    if (!feed->must_list) {
+        return SYN_WATCH_WAIT_MS * 1000LL + SYN_TIMEOUT_US;
+    }
+    if (syn_has_all(syn)) {
+        return SYN_TIMEOUT_US;
+    }
+    return syn->fail_run == 0 ? SYN_FIRST_TIMEOUT_US : SYN_SLOW_TIMEOUT_US;
+}
+
 static void
 syn_note_failure(struct syn *syn, enum mem_kind kind, int rc, int64_t now_us)
 {
@@ -88,7 +116,9 @@
     }
     syn->fail_run += 1;
     int64_t backoff_us = SYN_BACKOFF_MIN_US << MIN(syn->fail_run - 1, 8);
-    int64_t due_us = now_us + MIN(backoff_us, SYN_BACKOFF_MAX_US);
+    int64_t max_us =
+        syn_has_all(syn) ? SYN_BACKOFF_MAX_US : SYN_FIRST_BACKOFF_MAX_US;
+    int64_t due_us = now_us + MIN(backoff_us, max_us);
     /* One call finds out whether the store answers again. */
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
@@ -101,6 +131,7 @@
 static void
 syn_note_success(struct syn *syn, int64_t now_us)
 {
+    syn->answered_us = now_us;
     if (syn->fail_run == 0) {
         return;
     }
@@ -261,10 +292,15 @@
 syn_end_overdue(struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
-    int64_t wait_us =
-        feed->must_list || feed->is_from_peer ? 0 : SYN_WATCH_WAIT_MS * 1000LL;
     if (!feed->is_in_flight ||
-        now_us - feed->sent_us < wait_us + SYN_TIMEOUT_US) {
+        now_us - feed->sent_us < syn_timeout_us(syn, feed)) {
+        return;
+    }
+    if (!feed->is_from_peer && feed->sent_us < syn->answered_us) {
+        /* The store has answered since; only this call was lost. */
+        feed->is_in_flight = false;
+        feed->due_us = now_us;
+        syn_end_list(feed);
         return;
     }
     struct syn_fetch fetch = {
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -83,6 +83,7 @@
 /* What is known of the requests on a route. */
 struct gtw_route {
     struct hdg hedge;
+    int64_t norm_us; /* moving average of the time of a part, 0: not known */
     int64_t wait_max_us; /* the longest that callers wait, 0: not told */
 };
 
@@ -147,6 +148,9 @@
 /* What is known of a route, kept across configurations. */
 struct gtw_route *gtw_route(struct gtw *gtw, const struct gcf_route *route);
 
+/* Notes how long a part took from its first attempt on. */
+void gtw_note_part(struct gtw_route *known, int64_t took_us);
+
 /* The budget of extra sends to a service. */
 struct bgt *gtw_budget(struct gtw *gtw, const struct gcf_service *service);
 
--- a/include/gateway/share.h
+++ b/include/gateway/share.h
@@ -11,6 +11,10 @@
 /* Connections to one backend server that takes `max`; at least 1. */
 uint32_t shr_connections(uint32_t max, uint32_t vms);
 
+/* Requests at a time to a loaded backend server with `slots`: those that run
+ * and as many that wait; at least 1. */
+uint32_t shr_requests(uint32_t slots, uint32_t vms);
+
 /* Requests a second to a cold backend server that bears `per_s`. */
 uint32_t shr_cold_per_s(double per_s, double overshoot, uint32_t slack,
                         uint32_t vms);
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -77,6 +77,7 @@
     struct syn_feed feeds[MEM_KIND_COUNT];
     uint32_t fail_run;    /* fetches from the store that failed in a row */
     int64_t failing_us;   /* since when, 0: it answers */
+    int64_t answered_us;  /* its last answer */
     int64_t recovered_us; /* when it answered again after an outage */
     int64_t hold_us;      /* how long a lapsed object is kept */
     int64_t outage_hold_us;
@@ -88,8 +89,13 @@
 #define SYN_WATCH_WAIT_MS 25000
 /* Without a reply for this long beyond its wait a fetch has failed. */
 #define SYN_TIMEOUT_US (2000 * 1000)
+/* The same while nothing is known and no request can be served: first, and
+ * after a failure, since the store may be slow. */
+#define SYN_FIRST_TIMEOUT_US (600 * 1000)
+#define SYN_SLOW_TIMEOUT_US (1000 * 1000)
 #define SYN_BACKOFF_MIN_US (200 * 1000)
 #define SYN_BACKOFF_MAX_US (1000 * 1000)
+#define SYN_FIRST_BACKOFF_MAX_US (250 * 1000)
 /* Failing for this long is an outage, in which entries lapse. */
 #define SYN_OUTAGE_US (500 * 1000)
 
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -361,6 +361,22 @@
     }
 }
 
+/* > serve TARGET LINK COUNT MS: requests that the link answers after MS. */
+static void
+run_serve(void *ctx, int argc, char **argv, GString *out)
+{
+    GString *quiet = g_string_new(NULL);
+    char *ask[] = {"ask", "served", argv[1], "1000"};
+    char *wait[] = {"wait", argv[4]};
+    char *reply[] = {"reply", argv[2], "ok"};
+    for (gint64 i = scr_number(argc, argv, 3); i > 0; i--) {
+        run_ask(ctx, G_N_ELEMENTS(ask), ask, quiet);
+        run_wait(ctx, G_N_ELEMENTS(wait), wait, quiet);
+        run_reply(ctx, G_N_ELEMENTS(reply), reply, quiet);
+    }
+    g_string_free(quiet, TRUE);
+}
+
 /* > split ROUTE COUNT: how many requests go to each target. */
 static void
 run_split(void *ctx, int argc, char **argv, GString *out)
@@ -446,7 +462,7 @@
     {"up", run_up},           {"reply", run_reply},
     {"lost", run_lost},       {"wait", run_wait},
     {"split", run_split},     {"end-all", run_end_all},
-    {"counter", run_counter},
+    {"counter", run_counter}, {"serve", run_serve},
 };
 
 static void
