--- a/gateway/app.c
+++ b/gateway/app.c
@@ -9,6 +9,7 @@
 
 #define APP_TICK_MS 100
 #define APP_SETTINGS_IVL_US (2LL * 1000 * 1000)
+#define APP_TOTALS_IVL_US (10LL * 1000 * 1000)
 #define APP_BODY_MAX_BYTES (16 * 1024 * 1024)
 /* How soon work is given up for a caller that left. */
 #define APP_GONE_CHECK_MS 100
@@ -196,6 +197,22 @@
              app->settings.store);
 }
 
+/* One line with what happened since the start. */
+static void
+app_log_totals(struct app *app)
+{
+    log_info("app",
+             "totals answers=%" PRIu64 " p50_us=%" PRId64 " p99_us=%" PRId64
+             " hedges=%" PRIu64 " hedges_refused=%" PRIu64 " connects=%" PRIu64
+             " open_requests=%u vms=%u",
+             app->answer_us.total, hst_value_at(&app->answer_us, 500),
+             hst_value_at(&app->answer_us, 990),
+             *cnt_get(app->counters, "gateway_hedges", NULL),
+             *cnt_get(app->counters, "gateway_hedges_refused", "budget"),
+             *cnt_get(app->counters, "gateway_connects", NULL),
+             app->gtw.asks.length, app->gtw.vms);
+}
+
 static void
 app_check_settings(struct app *app, int64_t now_us)
 {
@@ -210,6 +227,10 @@
     if (dropped > 0) {
         log_info("log", "lines dropped count=%lu", dropped);
     }
+    if (now_us - app->totals_us >= APP_TOTALS_IVL_US) {
+        app->totals_us = now_us;
+        app_log_totals(app);
+    }
 }
 
 static void
--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -63,13 +63,15 @@
     g_ptr_array_add(list, backend);
 }
 
-/* Closes the links that carry no request. */
+/* Closes the links that carry no request, and those that nobody waits for if
+ * the backend server was removed. */
 static void
-bke_close_idle(struct bke_set *set, struct bke *backend)
+bke_close_unused(struct bke_set *set, struct bke *backend)
 {
     for (guint i = backend->links->len; i > 0; i--) {
         struct bke_link *link = g_ptr_array_index(backend->links, i - 1);
-        if (link->state == BKE_IDLE) {
+        if (link->state == BKE_IDLE ||
+            (backend->is_removed && link->attempt == NULL)) {
             bke_drop_link(set, link);
         }
     }
@@ -85,7 +87,7 @@
     }
     g_hash_table_remove(set->by_id, backend->id);
     backend->is_removed = true;
-    bke_close_idle(set, backend);
+    bke_close_unused(set, backend);
     bke_unref(backend);
 }
 
@@ -95,8 +97,8 @@
     GList *all = g_hash_table_get_values(set->by_id);
     for (GList *item = all; item != NULL; item = item->next) {
         struct bke *backend = item->data;
-        while (backend->links->len > 0) {
-            bke_drop_link(set, g_ptr_array_index(backend->links, 0));
+        for (guint i = backend->links->len; i > 0; i--) {
+            bke_drop_link(set, g_ptr_array_index(backend->links, i - 1));
         }
         bke_remove(set, backend);
     }
@@ -143,7 +145,7 @@
         backend->warm_us = now_us + entry->warmup_left_us;
     }
     if (backend->is_draining) {
-        bke_close_idle(set, backend);
+        bke_close_unused(set, backend);
     }
 }
 
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -1,3 +1,4 @@
+#include "common/invariant.h"
 #include "common/rc.h"
 #include "gateway/choose.h"
 #include "gateway/share.h"
@@ -174,6 +175,7 @@
         equal[equal_count] = i;
         equal_count += 1;
     }
+    CH_INVARIANT(equal_count > 0);
     uint32_t chosen = (uint32_t)(random * equal_count);
     return candidates[equal[MIN(chosen, equal_count - 1)]].backend;
 }
@@ -186,8 +188,11 @@
     struct chs_candidate candidates[CHS_CANDIDATES_MAX];
     uint32_t count = 0;
     int rc = RC_NO_SEARCHER;
-    for (guint i = 0; all != NULL && i < all->len; i++) {
-        struct bke *backend = g_ptr_array_index(all, i);
+    /* Where there are more than are looked at, each gets its turn. */
+    guint all_count = all != NULL ? all->len : 0;
+    guint first = (guint)(request->random * all_count);
+    for (guint i = 0; i < all_count; i++) {
+        struct bke *backend = g_ptr_array_index(all, (first + i) % all_count);
         int checked = chs_check(request, backend, now_us);
         if (checked != RC_OK) {
             rc = rc == RC_LIMIT || checked == RC_NO_SEARCHER ? rc : checked;
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -400,6 +400,10 @@
         if (link == NULL) {
             continue;
         }
+        if (link->backend->is_removed) {
+            bke_drop_link(&part->ask->gtw->backends, link);
+            continue;
+        }
         /* A new connection that nothing was sent on is kept for later. */
         bke_abandon_link(link, now_us + keep_us);
     }
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -43,6 +43,7 @@
     uint64_t random_state;
     int64_t settings_mtime_ns;
     int64_t settings_checked_us;
+    int64_t totals_us;   /* when the totals were logged */
     int64_t stopping_us; /* when SIGTERM came, 0: not */
 };
 
--- /dev/null
+++ b/tests/platform/test_platform.c
@@ -0,0 +1,352 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <inttypes.h>
+#include <string.h>
+#include <uv.h>
+
+#include "common/http_client.h"
+#include "common/http_server.h"
+#include "common/rc.h"
+#include "platform/platform.h"
+#include "script.h"
+
+/* The platform's messages, good ones and those that must be refused. */
+
+#define SERVER_ADDRESS "127.0.0.1:20981"
+
+struct platform_test {
+    uv_loop_t loop;
+    GString *out;
+    GString *request;   /* bytes to be sent */
+    const char *answer; /* how the caller is answered */
+};
+
+/* > objects watch|list STATUS BODY */
+static void
+run_objects(void *ctx, int argc, char **argv, GString *out)
+{
+    struct wir_objects objects;
+    plt_read_objects(strcmp(argv[1], "watch") == 0,
+                     (int)scr_number(argc, argv, 2), argv[3], strlen(argv[3]),
+                     &objects);
+    g_string_append_printf(out, "%s", rc_name(objects.reply.rc));
+    for (size_t i = 0; i < objects.reply.object_count; i++) {
+        const struct syn_object *object = &objects.reply.objects[i];
+        g_string_append_printf(out, " %s%s@%" PRId64,
+                               object->is_deleted ? "-" : "", object->name,
+                               object->revision);
+    }
+    if (objects.reply.rc == RC_OK) {
+        g_string_append_printf(out, " more=%d current=%" PRId64,
+                               objects.reply.has_more,
+                               objects.reply.current_revision);
+    }
+    wir_objects_clear(&objects);
+}
+
+/* > path list|watch KIND [AFTER | REVISION] */
+static void
+run_path(void *ctx, int argc, char **argv, GString *out)
+{
+    struct syn_fetch fetch = {
+        .kind = (enum mem_kind)scr_number(argc, argv, 2),
+        .is_watch = strcmp(argv[1], "watch") == 0,
+        .wait_ms = 100,
+    };
+    if (fetch.is_watch) {
+        fetch.revision = scr_number(argc, argv, 3);
+    }
+    else if (argc > 3) {
+        fetch.after = argv[3];
+    }
+    char *path = plt_fetch_path(&fetch);
+    g_string_append(out, path);
+    g_free(path);
+}
+
+/* > backend SPEC */
+static void
+run_backend(void *ctx, int argc, char **argv, GString *out)
+{
+    json_t *spec = json_loads(argv[1], 0, NULL);
+    struct syn_object object = {.name = "b1", .spec = spec};
+    struct bke_entry entry;
+    if (plt_read_backend(&object, &entry) != RC_OK) {
+        g_string_append(out, "invalid");
+    }
+    else {
+        g_string_append_printf(
+            out,
+            "%s %s %s slots=%u draining=%d warmup_ms=%" PRId64
+            " born=%" PRId64,
+            entry.service, entry.address, entry.dc, entry.slots,
+            entry.is_draining, entry.warmup_left_us / 1000, entry.born_ms);
+    }
+    json_decref(spec);
+}
+
+/* > config SPEC */
+static void
+run_config(void *ctx, int argc, char **argv, GString *out)
+{
+    json_t *spec = json_loads(argv[1], 0, NULL);
+    struct syn_object object = {.name = "main", .spec = spec};
+    struct gcf *config = NULL;
+    if (plt_read_config(&object, &config) != RC_OK) {
+        g_string_append(out, "invalid");
+    }
+    else {
+        g_string_append_printf(out, "version=%" PRId64 " routes=%u",
+                               config->version,
+                               g_hash_table_size(config->routes));
+        const struct gcf_route *route =
+            gcf_find_route(config, "h", "/a/b/c?d");
+        if (route != NULL) {
+            g_string_append_printf(
+                out, " %s idempotent=%d gather=%d targets=%u coverage=%u",
+                route->name, route->is_idempotent, route->is_gather,
+                route->targets->len, route->coverage_min_permille);
+        }
+        gcf_unref(config);
+    }
+    json_decref(spec);
+}
+
+/* > vm SPEC */
+static void
+run_vm(void *ctx, int argc, char **argv, GString *out)
+{
+    json_t *spec = json_loads(argv[1], 0, NULL);
+    struct syn_object object = {.name = "v1", .spec = spec};
+    struct wir_vm vm;
+    int rc = plt_read_vm(&object, &vm);
+    g_string_append(out, rc == RC_OK ? vm.peer_address : "invalid");
+    json_decref(spec);
+}
+
+/* > write-vm */
+static void
+run_write_vm(void *ctx, int argc, char **argv, GString *out)
+{
+    char *text = plt_write_vm(
+        &(struct wir_vm){.name = "v1", .peer_address = "127.0.0.1:1"});
+    g_string_append(out, text);
+    g_free(text);
+}
+
+/* > answer RC STATUS BODY FIELD... : of a backend server, to request q1. */
+static void
+run_answer(void *ctx, int argc, char **argv, GString *out)
+{
+    struct http_field fields[8];
+    size_t count = 0;
+    for (int i = 4; i < argc; i++) {
+        char *colon = strchr(argv[i], ':');
+        fields[count] = (struct http_field){
+            .name = argv[i],
+            .name_bytes = (size_t)(colon - argv[i]),
+            .value = colon + 2,
+            .value_bytes = strlen(colon + 2),
+        };
+        count += 1;
+    }
+    struct hcl_response response = {
+        .rc = rc_from_name(argv[1]),
+        .status = (int)scr_number(argc, argv, 2),
+        .body = argv[3],
+        .body_bytes = strlen(argv[3]),
+        .fields = fields,
+        .field_count = count,
+        .is_keepalive = true,
+    };
+    GString *passed = g_string_new(NULL);
+    GString *stamp = g_string_new(NULL);
+    struct att_answer answer;
+    plt_read_answer(&response, "q1", passed, stamp, &answer);
+    g_string_append_printf(out, "%s reusable=%d keepalive_ms=%" PRId64,
+                           rc_name(answer.rc), answer.is_reusable,
+                           answer.keepalive_us / 1000);
+    if (answer.warmup_us >= 0) {
+        g_string_append_printf(out, " warmup_ms=%" PRId64,
+                               answer.warmup_us / 1000);
+    }
+    g_strdelimit(passed->str, "\r\n", '|');
+    g_string_append_printf(out, " passes=%s", passed->str);
+    g_string_free(passed, TRUE);
+    g_string_free(stamp, TRUE);
+}
+
+/* > request METHOD LEFT_MS BODY */
+static void
+run_request(void *ctx, int argc, char **argv, GString *out)
+{
+    struct bke backend = {.id = (char *)"b1"};
+    struct ask_request request = {
+        .method = argv[1],
+        .target = "/a/b?c=d",
+        .host = "h",
+        .id = "q1",
+        .fields = "x-request-id: q1\r\n",
+        .body = argv[3],
+        .body_bytes = strlen(argv[3]),
+    };
+    GString *bytes = plt_write_request(&backend, &request,
+                                       scr_number(argc, argv, 2) * 1000);
+    char **lines = g_strsplit(bytes->str, "\r\n", -1);
+    for (char **line = lines; *line != NULL; line++) {
+        g_string_append_printf(out, "%s\n", **line != '\0' ? *line : "--");
+    }
+    g_strfreev(lines);
+    g_string_free(bytes, TRUE);
+}
+
+static void
+respond(struct platform_test *test, struct hsv_request *http, const char *id)
+{
+    static char one[] = "s1";
+    static char two[] = "s2";
+    GPtrArray *stamps = g_ptr_array_new();
+    g_ptr_array_add(stamps, one);
+    g_ptr_array_add(stamps, two);
+    struct ask_answer answer = {.rc = RC_OK};
+    if (strcmp(test->answer, "parts") == 0) {
+        answer.stamps = stamps;
+        answer.missing_parts = 1;
+        answer.body = "0123456789abcdef";
+        answer.body_bytes = 16;
+    }
+    else if (strcmp(test->answer, "server") == 0) {
+        answer.status = 207;
+        answer.fields = "X-Response-Stamp: s1\r\nX-Other: a: b\r\n";
+        answer.body = "text";
+        answer.body_bytes = 4;
+    }
+    else {
+        answer.rc = rc_from_name(test->answer);
+        answer.retry_after_us = 250 * 1000;
+    }
+    plt_respond(http, id, &answer);
+    g_ptr_array_free(stamps, TRUE);
+}
+
+static void
+on_request(struct hsv_request *http, void *ctx)
+{
+    struct platform_test *test = ctx;
+    struct wir_request request;
+    int rc = plt_read_request(http, &request);
+    g_strdelimit(request.fields->str, "\r\n", '|');
+    g_string_append_printf(
+        test->out,
+        "%s id=%s host=%s target=%s wait_ms=%" PRId64 " body=%zu passes=%s\n",
+        rc_name(rc), request.id != NULL ? request.id : "none", request.host,
+        http->target,
+        request.wait_us == INT64_MAX ? -1 : request.wait_us / 1000,
+        http->body_bytes, request.fields->str);
+    respond(test, http, request.id);
+    wir_request_clear(&request);
+}
+
+static void
+on_response(struct hcl_conn *conn, const struct hcl_response *response,
+            void *ctx)
+{
+    struct platform_test *test = ctx;
+    static const char *const names[] = {"x-request-id",     "x-part-stamps",
+                                        "x-missing-parts",  "retry-after",
+                                        "x-response-stamp", "x-other"};
+    g_string_append_printf(test->out, "%d", response->status);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        const struct http_field *field = hcl_field(response, names[i]);
+        if (field != NULL) {
+            g_string_append_printf(test->out, " %s=%.*s", names[i],
+                                   (int)field->value_bytes, field->value);
+        }
+    }
+    g_string_append_printf(test->out, " body=%.*s", (int)response->body_bytes,
+                           response->body);
+    hcl_close(conn);
+    uv_stop(&test->loop);
+}
+
+static void
+on_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    struct platform_test *test = ctx;
+    assert_int_equal(rc, RC_OK);
+    assert_int_equal(hcl_send(conn, test->request, false, on_response, test),
+                     RC_OK);
+}
+
+/* > call ANSWER LINE...: a caller's request through a real server; '@' in the
+ * last line is a NUL byte of the body. */
+static void
+run_call(void *ctx, int argc, char **argv, GString *out)
+{
+    struct platform_test *test = ctx;
+    test->out = out;
+    test->answer = argv[1];
+    test->request = g_string_new(NULL);
+    for (int i = 2; i < argc; i++) {
+        bool is_body = i == argc - 1 && argv[i][0] == '@';
+        for (char *at = argv[i]; is_body && *at != '\0'; at++) {
+            g_string_append_c(test->request, *at == '@' ? '\0' : *at);
+        }
+        if (!is_body) {
+            g_string_append_printf(test->request, "%s\r\n", argv[i]);
+        }
+    }
+    struct hcl_conn *conn = NULL;
+    assert_int_equal(hcl_connect(&test->loop, SERVER_ADDRESS, 10000,
+                                 on_connected, NULL, test, &conn),
+                     RC_OK);
+    uv_run(&test->loop, UV_RUN_DEFAULT);
+}
+
+/* > addresses TTL_MS ADDRESS... */
+static void
+run_addresses(void *ctx, int argc, char **argv, GString *out)
+{
+    GPtrArray *addresses = g_ptr_array_new();
+    for (int i = 2; i < argc; i++) {
+        g_ptr_array_add(addresses, argv[i]);
+    }
+    char *text = plt_write_addresses(addresses, scr_number(argc, argv, 1));
+    g_string_append(out, text);
+    g_free(text);
+    g_ptr_array_free(addresses, TRUE);
+}
+
+static const struct scr_command commands[] = {
+    {"objects", run_objects}, {"path", run_path},
+    {"backend", run_backend}, {"config", run_config},
+    {"vm", run_vm},           {"write-vm", run_write_vm},
+    {"answer", run_answer},   {"request", run_request},
+    {"call", run_call},       {"addresses", run_addresses},
+};
+
+static void
+test_platform(void **state)
+{
+    struct platform_test test = {.out = NULL};
+    struct hsv_server *server = NULL;
+    uv_loop_init(&test.loop);
+    assert_int_equal(
+        hsv_open(&test.loop, SERVER_ADDRESS, 1000, on_request, &test, &server),
+        RC_OK);
+    assert_int_equal(scr_run(SCRIPT_DIR "/platform.txt", commands,
+                             G_N_ELEMENTS(commands), &test),
+                     0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_platform),
+    };
+    return cmocka_run_group_tests_name("platform", tests, NULL, NULL);
+}
