gateway: send callers to strong VMs, follow the store through hubs

Change: the directory names the VMs with at least half of the capacity of the strongest one. Up to 12 of them are hubs: all VMs send heartbeats to these only, which answer; the others ask a hub for what changed instead of calling the store, and go to the store when no hub answers. Shares are counted by the strong VMs, with a fifth for the others.

--- a/common/msg.c
+++ b/common/msg.c
@@ -138,7 +138,8 @@
 
 DESC(msg_vm_beat, STR(msg_vm_beat, name), U64(msg_vm_beat, start),
      STR(msg_vm_beat, dc), STR(msg_vm_beat, request_address),
-     STR(msg_vm_beat, peer_address), U64(msg_vm_beat, is_ready),
+     STR(msg_vm_beat, peer_address), U64(msg_vm_beat, capacity),
+     U64(msg_vm_beat, is_ready), U64(msg_vm_beat, is_reply),
      I64(msg_vm_beat, config_change), I64(msg_vm_beat, backend_change),
      I64(msg_vm_beat, drain_change))
 
--- a/gateway/app.c
+++ b/gateway/app.c
@@ -408,7 +408,8 @@
     uv_loop_init(&app->loop);
     gtw_init(&app->gtw, app->settings.dc, &app_gtw_calls, app, app->counters);
     app_use_bounds(app);
-    mem_init(&app->mem, app->settings.vm);
+    mem_init(&app->mem, app->settings.vm, (uint32_t)app->settings.capacity);
+    app->mem.self->request_address = g_strdup(app->settings.request_listen);
     syn_init(&app->syn, &app_syn_calls, app);
     app->store = sto_new(app);
     int rc = pio_new(app, &app->peers);
--- a/gateway/directory_io.c
+++ b/gateway/directory_io.c
@@ -39,10 +39,7 @@
         return;
     }
     GPtrArray *addresses = g_ptr_array_new();
-    mem_addresses(&app->mem, app_now_us(), addresses);
-    if (app_is_ready(app)) {
-        g_ptr_array_add(addresses, app->settings.request_listen);
-    }
+    mem_addresses(&app->mem, app_is_ready(app), app_now_us(), addresses);
     if (addresses->len == 0) {
         dio_respond_text(http, 503, "no address\n");
     }
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -11,9 +11,10 @@
 };
 
 char *
-nws_path(enum mem_kind kind)
+nws_path(enum mem_kind kind, int64_t since)
 {
-    return g_strdup(nws_paths[kind]);
+    return g_strdup_printf("%s?since=%" G_GINT64_FORMAT, nws_paths[kind],
+                           since);
 }
 
 enum mem_kind
@@ -26,25 +27,53 @@
     return kind;
 }
 
-char *
-nws_write(const struct syn *syn, enum mem_kind kind)
+static json_t *
+nws_write_objects(const struct syn_feed *feed, int64_t since)
 {
-    int64_t changes[MEM_KIND_COUNT];
-    syn_changes(syn, changes);
     json_t *objects = json_array();
     GHashTableIter iter;
     gpointer name = NULL;
     gpointer value = NULL;
-    g_hash_table_iter_init(&iter, (GHashTable *)syn_known(syn, kind));
+    g_hash_table_iter_init(&iter, feed->known);
     while (g_hash_table_iter_next(&iter, &name, &value)) {
         const struct syn_known *known = value;
+        if (known->revision <= since) {
+            continue;
+        }
         json_array_append_new(
             objects,
             json_pack("{s:s,s:I,s:O?}", "name", (const char *)name, "revision",
                       (json_int_t)known->revision, "spec", known->spec));
     }
-    json_t *root = json_pack("{s:I,s:o}", "change", (json_int_t)changes[kind],
-                             "objects", objects);
+    return objects;
+}
+
+static json_t *
+nws_write_removed(const struct syn_feed *feed, int64_t since)
+{
+    json_t *names = json_array();
+    for (const GList *item = feed->removed.head; item != NULL;
+         item = item->next) {
+        const struct syn_removed *removed = item->data;
+        if (removed->change > since &&
+            !g_hash_table_contains(feed->known, removed->name)) {
+            json_array_append_new(names, json_string(removed->name));
+        }
+    }
+    return names;
+}
+
+char *
+nws_write(const struct syn *syn, enum mem_kind kind, int64_t since)
+{
+    const struct syn_feed *feed = syn_feed_of(syn, kind);
+    bool is_delta = since > 0 && since >= feed->floor;
+    json_t *root =
+        json_pack("{s:I,s:o}", "change", (json_int_t)feed->change, "objects",
+                  nws_write_objects(feed, is_delta ? since : 0));
+    if (is_delta) {
+        json_object_set_new(root, "removed", nws_write_removed(feed, since));
+    }
     char *text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     char *body = g_strdup(text);
@@ -91,8 +120,20 @@
         }
         g_array_append_val(out->objects, object);
     }
+    json_t *removed = json_object_get(out->root, "removed");
+    json_array_foreach(removed, i, item)
+    {
+        struct syn_object object = {
+            .name = json_string_value(item),
+            .is_deleted = true,
+        };
+        if (object.name != NULL) {
+            g_array_append_val(out->objects, object);
+        }
+    }
     out->reply = (struct syn_reply){
         .rc = RC_OK,
+        .is_delta = removed != NULL,
         .objects = (const struct syn_object *)out->objects->data,
         .object_count = out->objects->len,
         .current_revision = json_integer_value(change),
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -36,6 +36,47 @@
     *buf = uv_buf_init(peers->buffer, sizeof(peers->buffer));
 }
 
+static void
+pio_send_to(struct pio *peers, const char *address, const void *data,
+            size_t data_bytes)
+{
+    struct sockaddr_in to;
+    if (address == NULL || net_parse(address, &to) != RC_OK) {
+        return;
+    }
+    uv_buf_t buf = uv_buf_init((char *)data, (unsigned)data_bytes);
+    /* A heartbeat that cannot be sent is lost like one on the way. */
+    if (uv_udp_try_send(&peers->socket, &buf, 1,
+                        (const struct sockaddr *)&to) < 0) {
+        cnt_add(peers->app->counters, "gateway_beats_dropped", "unsent");
+    }
+}
+
+/* Appends this VM's heartbeat to a new buffer. */
+static void
+pio_encode_beat(const struct app *app, bool is_reply, msgpack_sbuffer *out)
+{
+    int64_t changes[MEM_KIND_COUNT];
+    syn_changes(&app->syn, changes);
+    struct msg_vm_beat beat = {
+        .name = app->settings.vm,
+        .start = app->start,
+        .dc = app->settings.dc,
+        .request_address = app->settings.request_listen,
+        .peer_address = app->peer_address,
+        .capacity = (uint64_t)app->settings.capacity,
+        .is_ready = app_is_ready(app),
+        .is_reply = is_reply,
+        .config_change = changes[MEM_CONFIG],
+        .backend_change = changes[MEM_BACKENDS],
+        .drain_change = changes[MEM_DRAINED_DCS],
+    };
+    msgpack_sbuffer_init(out);
+    if (msg_encode(MSG_VM_BEAT, &beat, out) != RC_OK) {
+        log_error("peer", "heartbeat cannot be encoded");
+    }
+}
+
 static void
 pio_on_beat(struct app *app, const struct msg_vm_beat *in)
 {
@@ -45,14 +86,23 @@
         .dc = in->dc,
         .request_address = in->request_address,
         .peer_address = in->peer_address,
+        .capacity = (uint32_t)in->capacity,
         .is_ready = in->is_ready != 0,
+        .is_reply = in->is_reply != 0,
         .changes = {[MEM_CONFIG] = in->config_change,
                     [MEM_BACKENDS] = in->backend_change,
                     [MEM_DRAINED_DCS] = in->drain_change},
     };
     int64_t own[MEM_KIND_COUNT];
     syn_changes(&app->syn, own);
-    mem_on_beat(&app->mem, &beat, own, app_now_us());
+    int64_t now_us = app_now_us();
+    mem_on_beat(&app->mem, &beat, own, now_us);
+    if (!beat.is_reply && mem_must_reply(&app->mem, beat.name, now_us)) {
+        msgpack_sbuffer buffer;
+        pio_encode_beat(app, true, &buffer);
+        pio_send_to(app->peers, beat.peer_address, buffer.data, buffer.size);
+        msgpack_sbuffer_destroy(&buffer);
+    }
 }
 
 static void
@@ -74,57 +124,26 @@
     msg_clear(&msg);
 }
 
-static void
-pio_send_to(struct pio *peers, const char *address, const void *data,
-            size_t data_bytes)
-{
-    struct sockaddr_in to;
-    if (address == NULL || net_parse(address, &to) != RC_OK) {
-        return;
-    }
-    uv_buf_t buf = uv_buf_init((char *)data, (unsigned)data_bytes);
-    /* A heartbeat that cannot be sent is lost like one on the way. */
-    if (uv_udp_try_send(&peers->socket, &buf, 1,
-                        (const struct sockaddr *)&to) < 0) {
-        cnt_add(peers->app->counters, "gateway_beats_dropped", "unsent");
-    }
-}
-
 void
 pio_beat(struct pio *peers)
 {
     struct app *app = peers->app;
-    int64_t changes[MEM_KIND_COUNT];
-    syn_changes(&app->syn, changes);
-    struct msg_vm_beat beat = {
-        .name = app->settings.vm,
-        .start = app->start,
-        .dc = app->settings.dc,
-        .request_address = app->settings.request_listen,
-        .peer_address = app->peer_address,
-        .is_ready = app_is_ready(app),
-        .config_change = changes[MEM_CONFIG],
-        .backend_change = changes[MEM_BACKENDS],
-        .drain_change = changes[MEM_DRAINED_DCS],
-    };
     msgpack_sbuffer buffer;
-    msgpack_sbuffer_init(&buffer);
-    if (msg_encode(MSG_VM_BEAT, &beat, &buffer) == RC_OK) {
-        GHashTableIter iter;
-        gpointer value = NULL;
-        g_hash_table_iter_init(&iter, app->mem.vms);
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            const struct mem_vm *vm = value;
-            pio_send_to(peers, vm->peer_address, buffer.data, buffer.size);
-        }
+    pio_encode_beat(app, false, &buffer);
+    GPtrArray *targets = g_ptr_array_new();
+    mem_beat_targets(&app->mem, app_now_us(), targets);
+    for (guint i = 0; i < targets->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(targets, i);
+        pio_send_to(peers, vm->peer_address, buffer.data, buffer.size);
     }
+    g_ptr_array_free(targets, TRUE);
     msgpack_sbuffer_destroy(&buffer);
 }
 
 void
 pio_tick(struct pio *peers, int64_t now_us)
 {
-    if (now_us - peers->beat_us >= MEM_BEAT_IVL_US) {
+    if (now_us - peers->beat_us >= mem_beat_ivl_us(&peers->app->mem)) {
         peers->beat_us = now_us;
         pio_beat(peers);
     }
@@ -139,7 +158,10 @@
         hsv_respond(http, 404, "text/plain", "unknown path\n", 13);
         return;
     }
-    char *body = nws_write(&app->syn, kind);
+    char *since = hsv_query_value(http, "since");
+    char *body = nws_write(
+        &app->syn, kind, since != NULL ? g_ascii_strtoll(since, NULL, 10) : 0);
+    g_free(since);
     hsv_respond(http, 200, "application/json", body, strlen(body));
     g_free(body);
 }
@@ -171,7 +193,7 @@
 {
     struct pio_pull *pull = ctx;
     if (rc == RC_OK) {
-        char *path = nws_path(pull->fetch.kind);
+        char *path = nws_path(pull->fetch.kind, pull->fetch.since);
         rc = hcl_request(conn, "GET", path, NULL, NULL, 0, pio_on_news, pull);
         g_free(path);
     }
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -170,7 +170,8 @@
         for (size_t i = 0; i < objects.reply.object_count; i++) {
             struct wir_vm vm;
             if (app->wire->read_vm(&objects.reply.objects[i], &vm) == RC_OK) {
-                mem_list_note(&app->mem, vm.name, vm.peer_address);
+                mem_list_note(&app->mem, vm.name, vm.peer_address,
+                              vm.capacity);
             }
         }
         mem_list_end(&app->mem, app_now_us());
@@ -247,6 +248,7 @@
     struct wir_vm vm = {
         .name = app->settings.vm,
         .peer_address = app->peer_address,
+        .capacity = (uint32_t)app->settings.capacity,
     };
     char *body = has_body ? app->wire->write_vm(&vm) : NULL;
     cnt_add(app->counters, "gateway_store_calls", calls[vms->step].label);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -18,6 +18,28 @@
     g_free(known);
 }
 
+static void
+syn_removed_free(struct syn_removed *removed)
+{
+    g_free(removed->name);
+    g_free(removed);
+}
+
+/* Keeps the end of an object for peers that ask what changed. */
+static void
+syn_keep_removed(struct syn_feed *feed, const char *name, int64_t change)
+{
+    struct syn_removed *removed = g_new0(struct syn_removed, 1);
+    removed->name = g_strdup(name);
+    removed->change = change;
+    g_queue_push_tail(&feed->removed, removed);
+    if (feed->removed.length > SYN_REMOVED_MAX) {
+        struct syn_removed *oldest = g_queue_pop_head(&feed->removed);
+        feed->floor = MAX(feed->floor, oldest->change);
+        syn_removed_free(oldest);
+    }
+}
+
 void
 syn_init(struct syn *syn, const struct syn_calls *calls, void *ctx)
 {
@@ -25,6 +47,7 @@
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         syn->feeds[i].known = g_hash_table_new_full(g_str_hash, g_str_equal,
                                                     g_free, syn_known_free);
+        g_queue_init(&syn->feeds[i].removed);
         syn->feeds[i].must_list = true;
     }
 }
@@ -46,6 +69,9 @@
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         syn_end_list(&syn->feeds[i]);
         g_hash_table_destroy(syn->feeds[i].known);
+        while (!g_queue_is_empty(&syn->feeds[i].removed)) {
+            syn_removed_free(g_queue_pop_head(&syn->feeds[i].removed));
+        }
     }
 }
 
@@ -73,6 +99,7 @@
         .wait_ms = is_list ? 0 : SYN_WATCH_WAIT_MS,
         .after = feed->after,
         .peer = peer,
+        .since = feed->has_list ? feed->change : 0,
         .serial = feed->serial,
     };
     syn->calls->fetch(&fetch, syn->ctx);
@@ -162,7 +189,7 @@
 
 static void
 syn_apply(struct syn *syn, enum mem_kind kind, const struct syn_object *object,
-          int64_t now_us)
+          int64_t change, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
     struct syn_known *known = g_hash_table_lookup(feed->known, object->name);
@@ -171,6 +198,7 @@
             return;
         }
         g_hash_table_remove(feed->known, object->name);
+        syn_keep_removed(feed, object->name, change);
     }
     else {
         if (known != NULL && known->revision >= object->revision) {
@@ -187,7 +215,8 @@
 
 /* Objects that a whole list does not name are gone. */
 static void
-syn_remove_unlisted(struct syn *syn, enum mem_kind kind, int64_t now_us)
+syn_remove_unlisted(struct syn *syn, enum mem_kind kind, int64_t change,
+                    int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
     GList *names = g_hash_table_get_keys(feed->known);
@@ -195,7 +224,7 @@
         if (!g_hash_table_contains(feed->listed, item->data)) {
             char *name = g_strdup(item->data);
             struct syn_object object = {.name = name, .is_deleted = true};
-            syn_apply(syn, kind, &object, now_us);
+            syn_apply(syn, kind, &object, change, now_us);
             g_free(name);
         }
     }
@@ -213,8 +242,12 @@
         feed->due_us = now_us;
         return;
     }
-    syn_remove_unlisted(syn, fetch->kind, now_us);
+    syn_remove_unlisted(syn, fetch->kind, reply->current_revision, now_us);
     syn_end_list(feed);
+    if (!feed->has_list) {
+        /* Ends of objects before the first list were never known. */
+        feed->floor = reply->current_revision;
+    }
     feed->has_list = true;
     if (fetch->peer == NULL) {
         feed->must_list = false;
@@ -236,7 +269,7 @@
             g_hash_table_add(feed->listed, g_strdup(object->name));
         }
         feed->change = MAX(feed->change, object->revision);
-        syn_apply(syn, fetch->kind, object, now_us);
+        syn_apply(syn, fetch->kind, object, reply->current_revision, now_us);
     }
     if (has_deleted || fetch->peer != NULL) {
         feed->change = MAX(feed->change, reply->current_revision);
@@ -249,6 +282,11 @@
 {
     struct syn_feed *feed = &syn->feeds[fetch->kind];
     syn_on_objects(syn, fetch, reply, now_us);
+    if (reply->is_delta) {
+        syn_end_list(feed);
+        feed->due_us = now_us;
+        return;
+    }
     if (!fetch->is_watch) {
         syn_on_list(syn, fetch, reply, now_us);
         return;
@@ -312,20 +350,24 @@
                  now_us);
 }
 
-/* Asks a peer that has had newer news for a while. */
+/* Asks a peer that has newer news: at once when it is left to it to follow the
+ * store, else when it has had them for a while. */
 static bool
 syn_ask_peer(struct syn *syn, enum mem_kind kind, const struct mem *mem,
-             int64_t now_us)
+             bool is_follower, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
-    if (now_us < feed->peer_due_us || feed->is_from_peer) {
+    if (now_us < feed->peer_due_us ||
+        (feed->is_in_flight && feed->is_from_peer)) {
         return false;
     }
-    const struct mem_vm *vm = mem_ahead(mem, kind, feed->change, now_us);
+    const struct mem_vm *vm = mem_ahead(
+        mem, kind, feed->change, is_follower ? 0 : MEM_AHEAD_US, now_us);
     if (vm == NULL || vm->peer_address == NULL) {
         return false;
     }
-    feed->peer_due_us = now_us + SYN_BACKOFF_MAX_US;
+    feed->peer_due_us =
+        now_us + (is_follower ? SYN_FOLLOW_IVL_US : SYN_BACKOFF_MAX_US);
     log_info("sync",
              "asking peer kind=%s vm=%s its_change=%" G_GINT64_FORMAT
              " own_change=%" G_GINT64_FORMAT,
@@ -335,12 +377,19 @@
 }
 
 void
-syn_tick(struct syn *syn, const struct mem *mem, int64_t now_us)
+syn_tick(struct syn *syn, struct mem *mem, int64_t now_us)
 {
+    if (syn->started_us == 0) {
+        syn->started_us = now_us;
+    }
+    bool is_early =
+        !mem->has_list && now_us - syn->started_us < SYN_MEMBERS_WAIT_US;
+    bool is_follower = mem_is_follower(mem, now_us);
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
         syn_end_overdue(syn, i, now_us);
-        if (syn_ask_peer(syn, i, mem, now_us)) {
+        if (syn_ask_peer(syn, i, mem, is_follower, now_us) || is_early ||
+            is_follower) {
             continue;
         }
         if (!feed->is_in_flight && now_us >= feed->due_us) {
@@ -364,8 +413,8 @@
            (syn->failing_us > 0 && now_us - syn->failing_us >= age_us);
 }
 
-const GHashTable *
-syn_known(const struct syn *syn, enum mem_kind kind)
+const struct syn_feed *
+syn_feed_of(const struct syn *syn, enum mem_kind kind)
 {
-    return syn->feeds[kind].known;
+    return &syn->feeds[kind];
 }
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -318,7 +318,9 @@
     const char *dc;
     const char *request_address;
     const char *peer_address;
+    uint64_t capacity; /* thousandths of a core */
     uint64_t is_ready;
+    uint64_t is_reply;
     int64_t config_change; /* store revisions of the newest changes known */
     int64_t backend_change;
     int64_t drain_change;
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -8,6 +8,11 @@
 /*
  * The VMs of the deployment. Those listed in the store may be sending to
  * backend servers, heard of or not; those heard of lately are alive.
+ *
+ * The strong VMs have at least half of the capacity of the strongest one;
+ * callers are sent to them. A few of them, the hubs, are told of all VMs by
+ * their heartbeats and follow the store for the others, so that a VM's cost
+ * does not grow with the fleet.
  */
 
 /* What VMs tell each other of a kind of objects: the newest change known. */
@@ -25,7 +30,9 @@
     const char *dc;
     const char *request_address; /* where callers connect, IPV4:PORT */
     const char *peer_address;    /* where VMs connect, IPV4:PORT */
+    uint32_t capacity;           /* thousandths of a core */
     bool is_ready;
+    bool is_reply; /* answers a heartbeat, is not answered itself */
     int64_t changes[MEM_KIND_COUNT]; /* store revisions, 0: nothing known */
 };
 
@@ -35,56 +42,98 @@
     char *dc;
     char *request_address;
     char *peer_address;
+    uint32_t capacity; /* thousandths of a core */
     bool is_listed;
     bool is_ready;
     int64_t heard_us; /* 0: never */
+    int64_t asked_us; /* first heartbeat sent since it was heard, 0: none */
+    int64_t retry_us; /* when one that is dead gets the next heartbeat */
     int64_t changes[MEM_KIND_COUNT];
     int64_t ahead_us[MEM_KIND_COUNT]; /* since when it knows more, 0: not */
 };
 
 struct mem {
-    char *self;
-    GHashTable *vms; /* name -> struct mem_vm, without this VM */
-    bool has_list;   /* a list of the store was read */
+    struct mem_vm *self;   /* not in `vms` */
+    GHashTable *vms;       /* name -> struct mem_vm */
+    GPtrArray *ranked;     /* all, strong ones first; NULL when out of date */
+    uint32_t strong_count; /* at the begin of `ranked` */
+    bool has_list;         /* a list of the store was read */
 };
 
 /* VMs that are taken to be sending until the list of them was read. */
 #define MEM_UNKNOWN_COUNT 16
+/* With fewer live strong VMs callers are sent to all. */
+#define MEM_STRONG_MIN 2
 
-/* A VM that was not heard of for this long is taken as dead: four heartbeats.
- */
-#define MEM_DEAD_US (2 * 1000 * 1000)
+/* Heartbeats in a small and in a large fleet. A VM that was not heard of for
+ * MEM_DEAD_BEATS of them is taken as dead. */
 #define MEM_BEAT_IVL_US (500 * 1000)
+#define MEM_BEAT_LARGE_IVL_US (1000 * 1000)
+#define MEM_LARGE_COUNT 16
+#define MEM_DEAD_BEATS 4
+/* How often a dead VM is tried again. */
+#define MEM_RETRY_US (5 * 1000 * 1000)
+/* At least and at most as many hubs. */
+#define MEM_HUBS_MIN 3
+#define MEM_HUBS_MAX 12
 /* A VM that is neither listed nor heard of is forgotten after this time. */
 #define MEM_FORGET_US (10 * 1000 * 1000)
-/* News that a peer has for this long are asked of it. */
+/* News that a peer has for this long are asked of it by a VM that follows the
+ * store itself. */
 #define MEM_AHEAD_US (700 * 1000)
 
-void mem_init(struct mem *mem, const char *self);
+void mem_init(struct mem *mem, const char *self, uint32_t capacity);
 
 void mem_clear(struct mem *mem);
 
 /* Begins and ends a list of the store: what is not noted between is no longer
  * listed. */
 void mem_list_begin(struct mem *mem);
-void mem_list_note(struct mem *mem, const char *name,
-                   const char *peer_address);
+void mem_list_note(struct mem *mem, const char *name, const char *peer_address,
+                   uint32_t capacity);
 void mem_list_end(struct mem *mem, int64_t now_us);
 
 /* A heartbeat arrived; `own` are the changes that this VM knows. */
 void mem_on_beat(struct mem *mem, const struct mem_beat *beat,
                  const int64_t *own, int64_t now_us);
 
-bool mem_is_live(const struct mem_vm *vm, int64_t now_us);
+/* Time between two heartbeats to a VM. */
+int64_t mem_beat_ivl_us(const struct mem *mem);
+
+bool mem_is_live(const struct mem *mem, const struct mem_vm *vm,
+                 int64_t now_us);
+
+/* Appends the hubs (struct mem_vm) that may be alive, without this VM. Returns
+ * whether this VM is one. */
+bool mem_hubs(struct mem *mem, int64_t now_us, GPtrArray *out);
 
-/* VMs that may be sending, this one included. */
-uint32_t mem_sender_count(const struct mem *mem, int64_t now_us);
+/* Whether this VM leaves following the store to a hub. */
+bool mem_is_follower(struct mem *mem, int64_t now_us);
 
-/* A live VM that has known newer changes of the kind for a while, or NULL. */
+/* Appends the VMs (struct mem_vm) that get a heartbeat now and notes it. */
+void mem_beat_targets(struct mem *mem, int64_t now_us, GPtrArray *out);
+
+/* Whether the heartbeat of this VM is to be answered: it gets none else. */
+bool mem_must_reply(struct mem *mem, const char *name, int64_t now_us);
+
+/*
+ * Number of VMs by which this VM divides the limits that all have together,
+ * so that the shares stay within them: callers come to the strong VMs, the
+ * others keep a fifth for the few requests they get.
+ */
+uint32_t mem_sender_count(struct mem *mem, int64_t now_us);
+
+/* A live VM that has known newer changes of the kind for `ahead_us`, or NULL.
+ */
 const struct mem_vm *mem_ahead(const struct mem *mem, enum mem_kind kind,
-                               int64_t own, int64_t now_us);
+                               int64_t own, int64_t ahead_us, int64_t now_us);
 
-/* Appends the addresses (char *, not owned) of the live and ready VMs. */
-void mem_addresses(const struct mem *mem, int64_t now_us, GPtrArray *out);
+/*
+ * Appends the addresses (char *, not owned) that callers should use: those of
+ * the live and ready strong VMs, this one included if it `is_ready`; without
+ * enough of them, of all that are live and ready.
+ */
+void mem_addresses(struct mem *mem, bool is_ready, int64_t now_us,
+                   GPtrArray *out);
 
 #endif
--- a/include/gateway/news.h
+++ b/include/gateway/news.h
@@ -5,17 +5,21 @@
 
 #include "gateway/wire.h"
 
-/* News between VMs: what one knows of a kind of objects, as a list in JSON:
- * {"change": N, "objects": [{"name", "revision", "spec"}]}. */
+/*
+ * News between VMs: what one knows of a kind of objects, as a list in JSON:
+ * {"change": N, "objects": [{"name", "revision", "spec"}]}. With "removed":
+ * [name] it is only what changed since a change that the other one knows.
+ */
 
-/* Path at which a VM is asked for a kind; free with g_free. */
-char *nws_path(enum mem_kind kind);
+/* Path and query at which a VM is asked for what changed after `since` (0: for
+ * all); free with g_free. */
+char *nws_path(enum mem_kind kind, int64_t since);
 
 /* The kind that the path names, or MEM_KIND_COUNT. */
 enum mem_kind nws_kind(const char *path);
 
 /* The body for a kind; free with g_free. */
-char *nws_write(const struct syn *syn, enum mem_kind kind);
+char *nws_write(const struct syn *syn, enum mem_kind kind, int64_t since);
 
 /* Reads a body; `out->reply.rc` is RC_OK or RC_BAD_REPLY. */
 void nws_read(int status, const char *body, size_t body_bytes,
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -29,6 +29,7 @@
     const struct syn_object *objects;
     size_t object_count;
     bool has_more; /* a list goes on after its last object */
+    bool is_delta; /* only what changed, as with a watch */
     int64_t current_revision;
 };
 
@@ -40,6 +41,7 @@
     int64_t wait_ms;   /* of a watch */
     const char *after; /* name after which a list goes on, NULL: the start */
     const char *peer;  /* address of the peer to ask, NULL: the store */
+    int64_t since;     /* a peer is asked for what changed after this */
     uint32_t serial;   /* to be passed back with the reply */
 };
 
@@ -55,7 +57,15 @@
     json_t *spec;
 };
 
+/* An object that is gone. */
+struct syn_removed {
+    char *name;
+    int64_t change; /* store revision at which its end was known */
+};
+
 struct syn_feed {
+    GQueue removed;     /* of struct syn_removed, latest last */
+    int64_t floor;      /* ends of objects up to this change are not kept */
     GHashTable *known;  /* name -> struct syn_known */
     GHashTable *listed; /* names of a list under way */
     char *after;
@@ -79,8 +89,7 @@
     int64_t failing_us;   /* since when, 0: it answers */
     int64_t answered_us;  /* its last answer */
     int64_t recovered_us; /* when it answered again after an outage */
-    int64_t hold_us;      /* how long a lapsed object is kept */
-    int64_t outage_hold_us;
+    int64_t started_us;   /* first call of syn_tick() */
 };
 
 /* Watches are asked again at most this often, so that a burst of changes
@@ -99,12 +108,21 @@
 /* Failing for this long is an outage, in which entries lapse. */
 #define SYN_OUTAGE_US (500 * 1000)
 
+/* Ends of objects that are kept for peers. */
+#define SYN_REMOVED_MAX 512
+/* A VM that leaves following the store to hubs asks them at most this often.
+ */
+#define SYN_FOLLOW_IVL_US (500 * 1000)
+/* A VM that starts waits this long for the list of VMs before it lists the
+ * store for itself. */
+#define SYN_MEMBERS_WAIT_US (500 * 1000)
+
 void syn_init(struct syn *syn, const struct syn_calls *calls, void *ctx);
 
 void syn_clear(struct syn *syn);
 
 /* Fetches what is due. */
-void syn_tick(struct syn *syn, const struct mem *mem, int64_t now_us);
+void syn_tick(struct syn *syn, struct mem *mem, int64_t now_us);
 
 /* The reply to a fetch; one with another serial than the last is dropped. */
 void syn_on_reply(struct syn *syn, const struct syn_fetch *fetch,
@@ -116,7 +134,7 @@
 /* Whether the store has not answered for `age_us`. */
 bool syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us);
 
-/* All objects of a kind as name and struct syn_known, for a peer's list. */
-const GHashTable *syn_known(const struct syn *syn, enum mem_kind kind);
+/* What is known of a kind, for a peer. */
+const struct syn_feed *syn_feed_of(const struct syn *syn, enum mem_kind kind);
 
 #endif
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -25,6 +25,7 @@
 struct wir_vm {
     const char *name;
     const char *peer_address;
+    uint32_t capacity; /* thousandths of a core */
 };
 
 /* A decoded request of a caller; free with wir_request_clear(). */
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -9,6 +9,7 @@
 #include "common/rc.h"
 #include "gateway/finish.h"
 #include "gateway/member.h"
+#include "gateway/news.h"
 #include "gateway/record.h"
 #include "gateway/settings.h"
 #include "gateway/share.h"
@@ -91,19 +92,24 @@
     g_byte_array_free(records, TRUE);
 }
 
-/* > mem-list NOW NAME... */
+#define CAPACITY 250
+
+/* > mem-list NOW NAME[=CAPACITY]... */
 static void
 run_mem_list(void *ctx, int argc, char **argv, GString *out)
 {
     struct module_test *test = ctx;
     mem_list_begin(&test->mem);
     for (int i = 2; i < argc; i++) {
-        mem_list_note(&test->mem, argv[i], "127.0.0.1:1");
+        char **pair = g_strsplit(argv[i], "=", 2);
+        mem_list_note(&test->mem, pair[0], pair[0],
+                      pair[1] != NULL ? (uint32_t)atoi(pair[1]) : CAPACITY);
+        g_strfreev(pair);
     }
     mem_list_end(&test->mem, scr_number(argc, argv, 1) * MS);
 }
 
-/* > beat NOW NAME START READY CONFIG_CHANGE */
+/* > beat NOW NAME START READY CONFIG_CHANGE [CAPACITY] */
 static void
 run_beat(void *ctx, int argc, char **argv, GString *out)
 {
@@ -114,6 +120,7 @@
         .dc = "d1",
         .request_address = argv[2],
         .peer_address = argv[2],
+        .capacity = argc > 6 ? (uint32_t)scr_number(argc, argv, 6) : CAPACITY,
         .is_ready = scr_number(argc, argv, 4) != 0,
         .changes = {[MEM_CONFIG] = scr_number(argc, argv, 5)},
     };
@@ -129,11 +136,39 @@
     struct module_test *test = ctx;
     int64_t now_us = scr_number(argc, argv, 1) * MS;
     GPtrArray *addresses = g_ptr_array_new();
-    mem_addresses(&test->mem, now_us, addresses);
-    g_string_append_printf(out, "senders=%u addresses=%u",
-                           mem_sender_count(&test->mem, now_us),
-                           addresses->len);
+    mem_addresses(&test->mem, false, now_us, addresses);
+    GPtrArray *hubs = g_ptr_array_new();
+    bool is_hub = mem_hubs(&test->mem, now_us, hubs);
+    g_string_append_printf(
+        out, "senders=%u addresses=%u hubs=%u is_hub=%d follows=%d",
+        mem_sender_count(&test->mem, now_us), addresses->len, hubs->len,
+        is_hub, mem_is_follower(&test->mem, now_us));
     g_ptr_array_free(addresses, TRUE);
+    g_ptr_array_free(hubs, TRUE);
+}
+
+/* > beats-to NOW: the VMs that get a heartbeat. */
+static void
+run_beats_to(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    GPtrArray *targets = g_ptr_array_new();
+    mem_beat_targets(&test->mem, scr_number(argc, argv, 1) * MS, targets);
+    for (guint i = 0; i < targets->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(targets, i);
+        g_string_append_printf(out, "%s ", vm->name);
+    }
+    g_ptr_array_free(targets, TRUE);
+}
+
+/* > must-reply NOW NAME */
+static void
+run_must_reply(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    bool must =
+        mem_must_reply(&test->mem, argv[2], scr_number(argc, argv, 1) * MS);
+    g_string_append(out, must ? "yes" : "no");
 }
 
 static void
@@ -153,7 +188,8 @@
         g_string_append_printf(test->out, " after=%s", fetch->after);
     }
     if (fetch->peer != NULL) {
-        g_string_append_printf(test->out, " of=%s", fetch->peer);
+        g_string_append_printf(test->out, " of=%s since=%" PRId64, fetch->peer,
+                               fetch->since);
     }
     g_string_append_c(test->out, '\n');
 }
@@ -188,7 +224,29 @@
     syn_tick(&test->syn, &test->mem, scr_number(argc, argv, 1) * MS);
 }
 
-/* > reply NOW KIND RC CURRENT [more] [NAME@REVISION | -NAME@REVISION]... */
+/* > news SINCE: what a peer gets that knows the change. */
+static void
+run_news(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    char *body =
+        nws_write(&test->syn, MEM_BACKENDS, scr_number(argc, argv, 1));
+    struct wir_objects objects;
+    nws_read(200, body, strlen(body), &objects);
+    g_string_append_printf(out, "delta=%d change=%" PRId64,
+                           objects.reply.is_delta,
+                           objects.reply.current_revision);
+    for (size_t i = 0; i < objects.reply.object_count; i++) {
+        g_string_append_printf(out, " %s%s",
+                               objects.reply.objects[i].is_deleted ? "-" : "",
+                               objects.reply.objects[i].name);
+    }
+    wir_objects_clear(&objects);
+    g_free(body);
+}
+
+/* > reply NOW KIND RC CURRENT [more] [delta] [NAME@REVISION |
+ * -NAME@REVISION]... */
 static void
 run_reply(void *ctx, int argc, char **argv, GString *out)
 {
@@ -199,11 +257,16 @@
     char *names[8];
     size_t count = 0;
     bool has_more = false;
+    bool is_delta = false;
     for (int i = 5; i < argc; i++) {
         if (strcmp(argv[i], "more") == 0) {
             has_more = true;
             continue;
         }
+        if (strcmp(argv[i], "delta") == 0) {
+            is_delta = true;
+            continue;
+        }
         bool is_deleted = argv[i][0] == '-';
         char **pair = g_strsplit(argv[i] + is_deleted, "@", 2);
         names[count] = g_strdup(pair[0]);
@@ -221,6 +284,7 @@
         .objects = objects,
         .object_count = count,
         .has_more = has_more,
+        .is_delta = is_delta,
         .current_revision = scr_number(argc, argv, 4),
     };
     syn_on_reply(&test->syn, &test->fetches[kind], &reply,
@@ -241,10 +305,11 @@
 }
 
 static void
-module_open(struct module_test *test)
+module_open(struct module_test *test, uint32_t capacity)
 {
     *test = (struct module_test){.out = NULL};
-    mem_init(&test->mem, "self");
+    mem_init(&test->mem, "self", capacity);
+    test->mem.self->request_address = g_strdup("self");
     syn_init(&test->syn, &fake_calls, test);
 }
 
@@ -258,15 +323,17 @@
     }
 }
 
+/* > reset [CAPACITY] */
 static void
 run_reset(void *ctx, int argc, char **argv, GString *out)
 {
     module_close(ctx);
-    module_open(ctx);
+    module_open(ctx,
+                argc > 1 ? (uint32_t)scr_number(argc, argv, 1) : CAPACITY);
 }
 
 static const char settings_good[] =
-    "[vm]\nname = v1\ndata_centre = d1\nip = 127.0.0.1\n"
+    "[vm]\nname = v1\ndata_centre = d1\nip = 127.0.0.1\ncores = 0.25\n"
     "[listen]\nrequests = 127.0.0.1:1\nready = 127.0.0.1:2\n"
     "directory = 127.0.0.1:3\npeer_port = 4\nmetrics_port = 0\n"
     "[store]\naddress = 127.0.0.1:5\n[stop]\ngrace_s = 6\n"
@@ -304,14 +371,15 @@
     {"beat", run_beat},         {"mem", run_mem},
     {"tick", run_tick},         {"reply", run_reply},
     {"stale", run_stale},       {"reset", run_reset},
-    {"settings", run_settings},
+    {"settings", run_settings}, {"news", run_news},
+    {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
 };
 
 static void
 test_modules(void **state)
 {
     struct module_test test;
-    module_open(&test);
+    module_open(&test, CAPACITY);
     assert_int_equal(scr_run(SCRIPT_DIR "/modules.txt", commands,
                              G_N_ELEMENTS(commands), &test),
                      0);
