gateway: refuse a search at once that cannot reach its coverage

Change: such a request is refused before anything is sent, with a time to return: 0.5 s, 1 s without a configuration.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -221,6 +221,21 @@
     return RC_OK;
 }
 
+bool
+chs_can_serve(const struct bke_set *set, const char *service,
+              GHashTable *drained_dcs)
+{
+    const GPtrArray *all = bke_of(set, service);
+    for (guint i = 0; all != NULL && i < all->len; i++) {
+        const struct bke *backend = g_ptr_array_index(all, i);
+        if (!backend->is_draining && backend->wrong_id_us == 0 &&
+            !g_hash_table_contains(drained_dcs, backend->dc)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 chs_on_send(struct bke *backend, int64_t now_us)
 {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -211,11 +211,33 @@
                gtw->is_config_stale);
     struct ask_answer answer = {
         .rc = rc,
-        .retry_after_us = GTW_NO_CONFIG_RETRY_US,
+        .retry_after_us = rc == RC_NO_SEARCHER ? GTW_NO_BACKEND_RETRY_US
+                                               : GTW_NO_CONFIG_RETRY_US,
     };
     gtw->calls->answer(request->ctx, &answer, gtw->ctx);
 }
 
+/*
+ * Whether enough shards have a backend server for the least coverage. If not,
+ * the request is refused before any part is sent, so that "not run" is true
+ * and the caller may come back.
+ */
+static bool
+gtw_can_cover(const struct gtw *gtw, const struct gcf_route *route)
+{
+    uint64_t count = 0;
+    for (guint i = 0; i < route->targets->len; i++) {
+        const struct gcf_target *target =
+            &g_array_index(route->targets, struct gcf_target, i);
+        count += chs_can_serve(&gtw->backends, target->service->name,
+                               gtw->drained_dcs)
+                     ? 1
+                     : 0;
+    }
+    return count * 1000 >=
+           (uint64_t)route->targets->len * route->coverage_min_permille;
+}
+
 struct ask *
 gtw_ask(struct gtw *gtw, const struct ask_request *request, int64_t now_us)
 {
@@ -234,6 +256,10 @@
         gtw_refuse(gtw, request, RC_TOO_LARGE);
         return NULL;
     }
+    if (route->is_gather && !gtw_can_cover(gtw, route)) {
+        gtw_refuse(gtw, request, RC_NO_SEARCHER);
+        return NULL;
+    }
     struct ask *ask = ask_new(gtw, route, request, now_us);
     ask_hold(ask);
     for (uint32_t i = 0; i < ask->part_count; i++) {
--- a/include/gateway/choose.h
+++ b/include/gateway/choose.h
@@ -41,6 +41,11 @@
 int chs_choose(const struct bke_set *set, const struct chs_request *request,
                int64_t now_us, struct bke **out);
 
+/* Whether any backend server of the service may get requests, now or as soon
+ * as this VM's limits allow. */
+bool chs_can_serve(const struct bke_set *set, const char *service,
+                   GHashTable *drained_dcs);
+
 /* Notes that a request is sent; a cold backend server's rate counts it. */
 void chs_on_send(struct bke *backend, int64_t now_us);
 
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -105,10 +105,12 @@
     bool is_config_stale; /* unknown routes are not refused for good */
 };
 
-/* When a caller should return that came before the first configuration. */
-#define GTW_NO_CONFIG_RETRY_US (300 * 1000)
-/* The same when no backend server can be used. */
-#define GTW_NO_BACKEND_RETRY_US (250 * 1000)
+/* When a caller should return that came before the first configuration: an
+ * outage of the store lasts for seconds, and callers repeat rarely. */
+#define GTW_NO_CONFIG_RETRY_US (1000 * 1000)
+/* The same when no backend server can be used: entries come back within two
+ * seconds of an outage. */
+#define GTW_NO_BACKEND_RETRY_US (500 * 1000)
 
 void gtw_init(struct gtw *gtw, const char *dc, const struct gtw_calls *calls,
               void *ctx, struct cnt_set *counters);
