gateway: read the list of VMs first, and start without waiting for ticks

Change: the list comes first, the steps follow each other on one connection, and the other kinds are fetched at once.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -253,6 +253,12 @@
     }
 }
 
+void
+app_sync(struct app *app)
+{
+    syn_tick(&app->syn, &app->mem, app_now_us());
+}
+
 static void
 app_on_tick(uv_timer_t *timer)
 {
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -23,10 +23,13 @@
     char *path;
 };
 
+/* Steps of a start: the list tells whom to follow, the own object makes this
+ * VM known, and the list after it names those that wrote at the same time. */
 enum sto_step {
+    STO_NONE,
+    STO_LIST,
     STO_CREATE,
     STO_REPLACE,
-    STO_LIST,
     STO_DELETE,
 };
 
@@ -37,6 +40,7 @@
     enum sto_step step;
     bool is_in_flight;
     bool is_written;
+    bool is_listed;
     int64_t due_us;
     int64_t sent_us;
 };
@@ -151,7 +155,7 @@
 }
 
 static void
-sto_vms_done(struct sto_vms *vms, int64_t delay_us)
+sto_vms_end(struct sto_vms *vms, int64_t delay_us)
 {
     sto_close(&vms->conn);
     vms->is_in_flight = false;
@@ -159,80 +163,100 @@
 }
 
 static void
-sto_on_vms_list(struct sto_vms *vms, const struct hcl_response *response)
+sto_on_vms_list(struct sto_vms *vms, const struct wir_objects *objects)
 {
     struct app *app = vms->app;
-    struct wir_objects objects;
-    app->wire->read_objects(false, response->status, response->body,
-                            response->body_bytes, &objects);
-    if (objects.reply.rc == RC_OK) {
-        mem_list_begin(&app->mem);
-        for (size_t i = 0; i < objects.reply.object_count; i++) {
-            struct wir_vm vm;
-            if (app->wire->read_vm(&objects.reply.objects[i], &vm) == RC_OK) {
-                mem_list_note(&app->mem, vm.name, vm.peer_address,
-                              vm.capacity);
-            }
+    mem_list_begin(&app->mem);
+    for (size_t i = 0; i < objects->reply.object_count; i++) {
+        struct wir_vm vm;
+        if (app->wire->read_vm(&objects->reply.objects[i], &vm) == RC_OK) {
+            mem_list_note(&app->mem, vm.name, vm.peer_address, vm.capacity);
         }
-        mem_list_end(&app->mem, app_now_us());
-        pio_beat(app->peers);
     }
-    bool is_good = objects.reply.rc == RC_OK;
-    wir_objects_clear(&objects);
-    sto_vms_done(vms, is_good ? STO_VMS_IVL_US : STO_RETRY_US);
+    mem_list_end(&app->mem, app_now_us());
+    pio_beat(app->peers);
+    app_sync(app);
 }
 
-static void
-sto_on_vms_reply(struct hcl_conn *conn, const struct hcl_response *response,
-                 void *ctx)
+/* What follows a reply to the step: another step at once, or STO_NONE. */
+static enum sto_step
+sto_vms_next(struct sto_vms *vms, const struct hcl_response *response)
 {
-    struct sto_vms *vms = ctx;
-    if (response->rc != RC_OK) {
-        sto_vms_done(vms, STO_RETRY_US);
-        return;
-    }
+    struct app *app = vms->app;
     int status = response->status;
+    bool is_good = status >= 200 && status < 300;
     switch (vms->step) {
     case STO_CREATE:
-        if (status == 409) {
-            vms->step = STO_REPLACE;
-            sto_vms_done(vms, 0);
-            return;
+        if (is_good) {
+            vms->is_written = true;
+            return STO_LIST;
         }
-        break;
+        return status == 409 ? STO_REPLACE : STO_NONE;
     case STO_REPLACE:
-        if (status == 404) {
-            vms->step = STO_CREATE;
-            sto_vms_done(vms, 0);
-            return;
+        if (is_good) {
+            vms->is_written = true;
+            return STO_LIST;
         }
+        return status == 404 ? STO_CREATE : STO_NONE;
+    case STO_LIST: {
+        struct wir_objects objects;
+        app->wire->read_objects(false, status, response->body,
+                                response->body_bytes, &objects);
+        is_good = objects.reply.rc == RC_OK;
+        if (is_good) {
+            sto_on_vms_list(vms, &objects);
+        }
+        wir_objects_clear(&objects);
+        vms->is_listed = is_good;
+        return is_good && !vms->is_written ? STO_CREATE : STO_NONE;
+    }
+    case STO_DELETE:
+    case STO_NONE:
         break;
-    case STO_LIST:
-        sto_on_vms_list(vms, response);
+    }
+    return STO_NONE;
+}
+
+static void sto_vms_send(struct sto_vms *vms);
+
+static void
+sto_on_vms_reply(struct hcl_conn *conn, const struct hcl_response *response,
+                 void *ctx)
+{
+    struct sto_vms *vms = ctx;
+    if (response->rc != RC_OK) {
+        sto_vms_end(vms, STO_RETRY_US);
         return;
-    case STO_DELETE:
-        sto_vms_done(vms, INT32_MAX);
+    }
+    if (vms->step == STO_DELETE) {
+        sto_vms_end(vms, INT32_MAX);
         return;
     }
-    if (status < 200 || status >= 300) {
-        log_warn("store", "own object refused status=%d", status);
-        sto_vms_done(vms, STO_RETRY_US);
+    enum sto_step next = sto_vms_next(vms, response);
+    if (next != STO_NONE) {
+        vms->step = next;
+        if (response->is_keepalive) {
+            sto_vms_send(vms);
+        }
+        else {
+            sto_vms_end(vms, 0);
+        }
         return;
     }
-    vms->is_written = true;
-    vms->step = STO_LIST;
-    sto_vms_done(vms, 0);
+    bool is_done = vms->is_written && vms->is_listed;
+    if (!is_done) {
+        log_warn("store", "call on own object refused step=%d status=%d",
+                 vms->step, response->status);
+    }
+    vms->step = vms->is_written ? STO_LIST : vms->step;
+    sto_vms_end(vms, is_done ? STO_VMS_IVL_US : STO_RETRY_US);
 }
 
+/* Sends the call of the step on the open connection. */
 static void
-sto_on_vms_connected(struct hcl_conn *conn, int rc, void *ctx)
+sto_vms_send(struct sto_vms *vms)
 {
-    struct sto_vms *vms = ctx;
     struct app *app = vms->app;
-    if (rc != RC_OK) {
-        sto_vms_done(vms, STO_RETRY_US);
-        return;
-    }
     static const struct {
         const char *method;
         const char *label;
@@ -252,19 +276,30 @@
     };
     char *body = has_body ? app->wire->write_vm(&vm) : NULL;
     cnt_add(app->counters, "gateway_store_calls", calls[vms->step].label);
-    rc = hcl_request(conn, calls[vms->step].method, path, NULL, body,
-                     body != NULL ? strlen(body) : 0, sto_on_vms_reply, vms);
+    int rc =
+        hcl_request(vms->conn, calls[vms->step].method, path, NULL, body,
+                    body != NULL ? strlen(body) : 0, sto_on_vms_reply, vms);
     g_free(path);
     g_free(body);
     if (rc != RC_OK) {
-        sto_vms_done(vms, STO_RETRY_US);
+        sto_vms_end(vms, STO_RETRY_US);
+    }
+}
+
+static void
+sto_on_vms_connected(struct hcl_conn *conn, int rc, void *ctx)
+{
+    if (rc != RC_OK) {
+        sto_vms_end(ctx, STO_RETRY_US);
+        return;
     }
+    sto_vms_send(ctx);
 }
 
 static void
 sto_on_vms_lost(struct hcl_conn *conn, void *ctx)
 {
-    sto_vms_done(ctx, STO_RETRY_US);
+    sto_vms_end(ctx, STO_RETRY_US);
 }
 
 static void
@@ -277,7 +312,7 @@
                     sto_on_vms_connected, sto_on_vms_lost, vms,
                     &vms->conn) != RC_OK) {
         vms->conn = NULL;
-        sto_vms_done(vms, STO_RETRY_US);
+        sto_vms_end(vms, STO_RETRY_US);
     }
 }
 
@@ -287,6 +322,7 @@
     struct sto *store = g_new0(struct sto, 1);
     store->app = app;
     store->vms.app = app;
+    store->vms.step = STO_LIST;
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         store->feeds[i].app = app;
     }
@@ -310,7 +346,7 @@
     struct sto_vms *vms = &store->vms;
     if (vms->is_in_flight && now_us - vms->sent_us >= STO_TIMEOUT_US) {
         log_warn("store", "no reply on own object");
-        sto_vms_done(vms, STO_RETRY_US);
+        sto_vms_end(vms, STO_RETRY_US);
     }
     if (!vms->is_in_flight && now_us >= vms->due_us) {
         sto_vms_start(vms, now_us);
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -53,6 +53,9 @@
 /* The steady clock in microseconds. */
 int64_t app_now_us(void);
 
+/* Fetches what is due, for news that should not wait for the next tick. */
+void app_sync(struct app *app);
+
 /* Whether this VM takes requests. */
 bool app_is_ready(const struct app *app);
 
