entry: tests for the two halves of the check that an id is this process's own

Cause: a mutant without the comparison of the start and one without that of the machine passed the scripted tests.

--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -505,6 +505,16 @@
     }
 }
 
+/* own-id ID: whether this process issued it. */
+static void
+run_own_id(void *ctx, int argc, char **argv, GString *out)
+{
+    struct entry_test *test = ctx;
+    struct rid_id id;
+    assert_int_equal(rid_parse(argv[1], &id), RC_OK);
+    g_string_append(out, rid_is_own(test->ids, &id) ? "own" : "other");
+}
+
 /* order TAG SEQ DEADLINE_MS */
 static void
 run_order(void *ctx, int argc, char **argv, GString *out)
@@ -719,20 +729,20 @@
 }
 
 static const struct scr_command commands[] = {
-    {"relay", run_relay},       {"offer", run_offer},
-    {"pick", run_pick},         {"wait", run_wait},
-    {"link", run_link},         {"idle", run_idle},
-    {"search", run_search},     {"abandon", run_abandon},
-    {"warm", run_warm},         {"reply", run_reply},
-    {"count", run_count},       {"id", run_id},
-    {"parse-id", run_parse_id}, {"order", run_order},
-    {"executed", run_executed}, {"not-run", run_not_run},
-    {"forward", run_forward},   {"forwarded", run_forwarded},
-    {"callers", run_callers},   {"take", run_take},
-    {"entries", run_entries},   {"spread", run_spread},
-    {"sent", run_sent},         {"heard", run_heard},
-    {"hello", run_hello},       {"listed", run_listed},
-    {"body", run_body},
+    {"relay", run_relay},         {"offer", run_offer},
+    {"pick", run_pick},           {"wait", run_wait},
+    {"link", run_link},           {"idle", run_idle},
+    {"search", run_search},       {"abandon", run_abandon},
+    {"warm", run_warm},           {"reply", run_reply},
+    {"count", run_count},         {"id", run_id},
+    {"parse-id", run_parse_id},   {"own-id", run_own_id},
+    {"order", run_order},         {"executed", run_executed},
+    {"not-run", run_not_run},     {"forward", run_forward},
+    {"forwarded", run_forwarded}, {"callers", run_callers},
+    {"take", run_take},           {"entries", run_entries},
+    {"spread", run_spread},       {"sent", run_sent},
+    {"heard", run_heard},         {"hello", run_hello},
+    {"listed", run_listed},       {"body", run_body},
 };
 
 static void
