soak: real gateways under a seeded series of faults

Cause: nothing ran the real programs against outside faults beside the bench.

Change: fault-soak starts four gateways, speaks the platform's wire as store and as 16 backend servers, puts proxies between them that delay, reset, cut one way and silence, sends signals, changes configuration and entries, and checks each answer, arrival and exit. scripts/fault-soak runs one seed, scripts/fault-soak-all many.

--- /dev/null
+++ b/soak/vm.c
@@ -0,0 +1,143 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define SVM_RESTART_MS 300
+
+static void
+svm_write_settings(struct svm *vm)
+{
+    char store[SOK_ADDRESS_BYTES];
+    sok_address(vm->sok, SOK_HOST, SOK_STORE_PROXY_PORT + vm->index, store);
+    char *text = g_strdup_printf(
+        "[vm]\nname = %s\ndata_centre = dc%d\nip = %s\ncores = 0.25\n"
+        "[listen]\nrequests = %s:23400\nready = %s:23401\n"
+        "directory = %s:23402\npeer_port = 23403\nmetrics_port = 23404\n"
+        "[store]\naddress = %s\n[stop]\ngrace_s = %lld\n"
+        "[retries]\nextra_ratio = 0.2\nextra_count = %d\n"
+        "[warmup]\novershoot_ratio = 1.5\nslack = 5\n"
+        "[config]\napply_ms = %lld\n[directory]\nttl_max_s = 5\n",
+        vm->name, vm->index % SOK_DCS, vm->ip, vm->ip, vm->ip, vm->ip, store,
+        SOK_GRACE_US / SOK_US, SOK_EXTRA_COUNT, SOK_CONFIG_US / 1000);
+    g_assert_true(g_file_set_contents(vm->settings, text, -1, NULL));
+    g_free(text);
+}
+
+static void
+svm_on_restart_closed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+svm_on_restart(uv_timer_t *timer)
+{
+    svm_start(timer->data);
+    uv_close((uv_handle_t *)timer, svm_on_restart_closed);
+}
+
+static void
+svm_on_exit(uv_process_t *process, int64_t status, int signal)
+{
+    struct svm *vm = process->data;
+    struct sok *sok = vm->sok;
+    vm->is_running = false;
+    bool was_asked = vm->was_killed || vm->is_stopping;
+    if (!was_asked || (!vm->was_killed && (status != 0 || signal != 0))) {
+        sok_violation(sok, "exit",
+                      "%s ended by itself status=%" G_GINT64_FORMAT
+                      " signal=%d",
+                      vm->name, status, signal);
+    }
+    /* A process that was paused meanwhile cannot keep the time. */
+    bool was_paused = vm->is_paused || vm->resumed_us > vm->stopped_us;
+    if (vm->is_stopping && !vm->was_killed && !was_paused &&
+        sok_now_us() - vm->stopped_us > SOK_GRACE_US) {
+        sok_violation(sok, "stop", "%s took longer than its grace period",
+                      vm->name);
+    }
+    vm->disturbed_us = sok_now_us();
+    uv_close((uv_handle_t *)process, NULL);
+    if (sok->end_us == 0) {
+        return;
+    }
+    uv_timer_t *timer = g_new0(uv_timer_t, 1);
+    uv_timer_init(&sok->loop, timer);
+    timer->data = vm;
+    uv_timer_start(timer, svm_on_restart, SVM_RESTART_MS, 0);
+}
+
+void
+svm_start(struct svm *vm)
+{
+    struct sok *sok = vm->sok;
+    if (vm->is_running || sok->end_us == 0) {
+        return;
+    }
+    char *path = g_strdup_printf("%s/%s.log", sok->folder, vm->name);
+    int log = open(path, O_CREAT | O_WRONLY | O_APPEND, 0644);
+    g_free(path);
+    char *args[] = {(char *)sok->gateway, (char *)"--settings", vm->settings,
+                    NULL};
+    uv_stdio_container_t stdio[] = {
+        {.flags = UV_IGNORE},
+        {.flags = UV_INHERIT_FD, .data.fd = log},
+        {.flags = UV_INHERIT_FD, .data.fd = log},
+    };
+    uv_process_options_t options = {
+        .exit_cb = svm_on_exit,
+        .file = sok->gateway,
+        .args = args,
+        .stdio = stdio,
+        .stdio_count = 3,
+    };
+    vm->process.data = vm;
+    vm->is_stopping = false;
+    vm->was_killed = false;
+    vm->is_paused = false;
+    vm->seen_version = 0;
+    vm->incarnation += 1;
+    vm->disturbed_us = sok_now_us();
+    g_assert_cmpint(uv_spawn(&sok->loop, &vm->process, &options), ==, 0);
+    vm->is_running = true;
+    (void)close(log);
+}
+
+void
+svm_signal(struct svm *vm, int number)
+{
+    if (!vm->is_running) {
+        return;
+    }
+    int64_t now_us = sok_now_us();
+    vm->disturbed_us = now_us;
+    if (number == SIGTERM && !vm->is_stopping) {
+        vm->is_stopping = true;
+        vm->stopped_us = now_us;
+    }
+    vm->was_killed = vm->was_killed || number == SIGKILL;
+    if (number == SIGSTOP || number == SIGCONT) {
+        vm->is_paused = number == SIGSTOP;
+        vm->resumed_us = now_us;
+    }
+    (void)uv_process_kill(&vm->process, number);
+}
+
+void
+svm_open(struct sok *sok, struct svm *vm, int index)
+{
+    char listen[SOK_ADDRESS_BYTES];
+    char store[SOK_ADDRESS_BYTES];
+    *vm = (struct svm){.sok = sok, .index = index};
+    g_snprintf(vm->name, sizeof(vm->name), "vm%d", index);
+    g_snprintf(vm->ip, sizeof(vm->ip), "127.0.%d.%d", sok->slot,
+               SOK_VM_HOST + index);
+    sok_address(sok, SOK_HOST, SOK_STORE_PROXY_PORT + index, listen);
+    sok_address(sok, SOK_HOST, SOK_STORE_PORT, store);
+    vm->store_proxy = prx_new(sok, listen, store);
+    vm->settings = g_strdup_printf("%s/%s.ini", sok->folder, vm->name);
+    svm_write_settings(vm);
+    svm_start(vm);
+}
