gateway: no hedges to loaded servers, load measured against a slow base

Change: a route's time without load falls at once and doubles only after some 16,000 parts; a server is loaded from 3.5 times that, and gets no hedges then.

--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -15,7 +15,7 @@
 #define CHS_FAILURE_US (40 * 1000)
 #define CHS_PERMILLE 1000
 /* One whose answers take this many times the usual time has a queue. */
-#define CHS_LOADED_PERMILLE 2500
+#define CHS_LOADED_PERMILLE 3500
 /* One that got nothing for this long gets one request in CHS_PROBE_SHARE. */
 #define CHS_PROBE_IVL_US (1000 * 1000)
 #define CHS_PROBE_SHARE 0.15
@@ -66,9 +66,9 @@
 static bool
 chs_is_loaded(const struct chs_request *request, const struct bke *backend)
 {
-    return request->norm_us > 0 &&
+    return request->base_us > 0 &&
            backend->latency_us >
-               request->norm_us * CHS_LOADED_PERMILLE / CHS_PERMILLE;
+               request->base_us * CHS_LOADED_PERMILLE / CHS_PERMILLE;
 }
 
 static bool
@@ -78,6 +78,9 @@
     uint32_t share = shr_connections(request->service->connections_max,
                                      request->bounds.vms);
     if (chs_is_loaded(request, backend)) {
+        if (request->is_hedge) {
+            return false;
+        }
         uint32_t limit = shr_requests(backend->slots, request->bounds.vms);
         if (bke_busy_count(backend) >= limit) {
             return false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,6 +11,8 @@
  * part counts at most. */
 #define GTW_NORM_WEIGHT 64
 #define GTW_NORM_MAX_FACTOR 3
+/* The usual time without load doubles after about this many parts. */
+#define GTW_BASE_RISE 16384
 
 /* State of smooth weighted round robin over a route's targets. */
 struct spl {
@@ -100,10 +102,17 @@
     hdg_note(&known->hedge, took_us);
     if (known->norm_us == 0) {
         known->norm_us = took_us;
+        known->base_us = took_us;
         return;
     }
     int64_t counted_us = MIN(took_us, known->norm_us * GTW_NORM_MAX_FACTOR);
     known->norm_us += (counted_us - known->norm_us) / GTW_NORM_WEIGHT;
+    if (known->norm_us < known->base_us) {
+        known->base_us = known->norm_us;
+    }
+    else {
+        known->base_us += 1 + known->base_us / GTW_BASE_RISE;
+    }
 }
 
 /*
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -79,7 +79,7 @@
 }
 
 static int
-prt_choose(struct prt *part, bool is_strict, int64_t now_us, struct bke **out)
+prt_choose(struct prt *part, bool is_hedge, int64_t now_us, struct bke **out)
 {
     struct gtw *gtw = part->ask->gtw;
     struct chs_request request = {
@@ -90,8 +90,9 @@
                    .warmup_overshoot = gtw->bounds.warmup_overshoot,
                    .warmup_slack = gtw->bounds.warmup_slack},
         .tried_count = part->attempt_count,
-        .norm_us = gtw_route(gtw, part->ask->route)->norm_us,
-        .is_strict = is_strict,
+        .base_us = gtw_route(gtw, part->ask->route)->base_us,
+        .is_hedge = is_hedge,
+        .is_strict = is_hedge || !part->ask->route->is_idempotent,
         .may_probe =
             part->ask->route->is_idempotent && part->attempt_count == 0,
         .random = gtw->calls->random(gtw->ctx),
@@ -169,8 +170,7 @@
 {
     while (prt_may_try(part)) {
         struct bke *backend = NULL;
-        int rc = prt_choose(part, !part->ask->route->is_idempotent, now_us,
-                            &backend);
+        int rc = prt_choose(part, false, now_us, &backend);
         if (rc == RC_LIMIT) {
             part->retry_us = now_us + PRT_RETRY_US;
             part->rc = rc;
--- a/include/gateway/choose.h
+++ b/include/gateway/choose.h
@@ -25,11 +25,13 @@
     struct chs_bounds bounds;
     const struct bke *tried[CHS_TRIED_MAX];
     uint32_t tried_count;
-    int64_t norm_us; /* usual time of a request on this route, 0: not known */
-    bool is_strict;  /* never one that was tried */
-    bool may_probe;  /* may go to one that was slow, to see whether it still is
-                      */
-    double random;   /* 0 to 1, chooses among replicas that are as good */
+    /* Usual time of a request on this route without load, 0: not known. */
+    int64_t base_us;
+    bool is_hedge;  /* is not sent to one that is loaded */
+    bool is_strict; /* never one that was tried */
+    bool may_probe; /* may go to one that was slow, to see whether it still is
+                     */
+    double random;  /* 0 to 1, chooses among replicas that are as good */
 };
 
 /*
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -84,6 +84,9 @@
 struct gtw_route {
     struct hdg hedge;
     int64_t norm_us; /* moving average of the time of a part, 0: not known */
+    /* The same without load: it falls at once and rises slowly, so that a
+     * load on all backend servers shows against it. */
+    int64_t base_us;
     int64_t wait_max_us; /* the longest that callers wait, 0: not told */
 };
 
