gateway: hubs name live VMs, so that equal VMs share the callers

Cause: in a fleet of more than 12 equal VMs each one hears of the 12 hubs only, and its directory named these and itself: the hubs would have got nearly all callers.

Change: an answer to a heartbeat names four live VMs, others each time; a named VM counts as alive for 4 s. At most 64 addresses are given. With up to 12 strong VMs nothing is named, since all are hubs.

--- a/common/msg.c
+++ b/common/msg.c
@@ -136,12 +136,14 @@
      U64(msg_cell, version),
      LIST(msg_cell, members, member_count, msg_member_desc))
 
+DESC(msg_vouched, STR(msg_vouched, name), STR(msg_vouched, request_address))
 DESC(msg_vm_beat, STR(msg_vm_beat, name), U64(msg_vm_beat, start),
      STR(msg_vm_beat, dc), STR(msg_vm_beat, request_address),
      STR(msg_vm_beat, peer_address), U64(msg_vm_beat, capacity),
      U64(msg_vm_beat, is_ready), U64(msg_vm_beat, is_reply),
      I64(msg_vm_beat, config_change), I64(msg_vm_beat, backend_change),
-     I64(msg_vm_beat, drain_change))
+     I64(msg_vm_beat, drain_change),
+     LIST(msg_vm_beat, vouched, vouched_count, msg_vouched_desc))
 
 static const struct msg_desc *const msg_descs[MSG_TYPE_COUNT] = {
     [MSG_HELLO] = &msg_hello_desc,
--- a/gateway/app.c
+++ b/gateway/app.c
@@ -42,7 +42,7 @@
     return state * 0x2545F4914F6CDD1DULL;
 }
 
-static double
+double
 app_random(void *ctx)
 {
     return (double)(app_random_bits(ctx) >> 11) / (double)(1ULL << 53);
--- a/gateway/directory_io.c
+++ b/gateway/directory_io.c
@@ -39,7 +39,8 @@
         return;
     }
     GPtrArray *addresses = g_ptr_array_new();
-    mem_addresses(&app->mem, app_is_ready(app), app_now_us(), addresses);
+    mem_addresses(&app->mem, app_is_ready(app), app_random(app), app_now_us(),
+                  addresses);
     if (addresses->len == 0) {
         dio_respond_text(http, 503, "no address\n");
     }
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -206,6 +206,36 @@
     mem_note_changes(vm, beat->changes, own, now_us);
 }
 
+void
+mem_on_vouched(struct mem *mem, const char *name, const char *request_address,
+               int64_t now_us)
+{
+    if (mem_is_self(mem, name)) {
+        return;
+    }
+    struct mem_vm *vm = mem_vm_of(mem, name);
+    vm->vouched_us = now_us;
+    mem_replace(&vm->request_address, request_address);
+}
+
+void
+mem_vouch(struct mem *mem, int64_t now_us, GPtrArray *out)
+{
+    mem_rank(mem);
+    if (mem->strong_count <= MEM_HUBS_MAX) {
+        /* All strong VMs are hubs, of which each VM hears itself. */
+        return;
+    }
+    for (guint i = 0; i < mem->strong_count && out->len < MEM_VOUCHED_MAX;
+         i++) {
+        mem->vouched_next = (mem->vouched_next + 1) % mem->strong_count;
+        struct mem_vm *vm = g_ptr_array_index(mem->ranked, mem->vouched_next);
+        if (vm != mem->self && vm->is_ready && mem_is_live(mem, vm, now_us)) {
+            g_ptr_array_add(out, vm);
+        }
+    }
+}
+
 int64_t
 mem_beat_ivl_us(const struct mem *mem)
 {
@@ -361,16 +391,26 @@
     return best;
 }
 
+static bool
+mem_is_usable(const struct mem *mem, const struct mem_vm *vm, int64_t now_us)
+{
+    if (mem_is_live(mem, vm, now_us)) {
+        return vm->is_ready;
+    }
+    return vm->vouched_us > 0 && now_us - vm->vouched_us < MEM_VOUCHED_US;
+}
+
 /* Appends those of the first `count` ranked VMs that callers can use. */
 static void
 mem_add_addresses(const struct mem *mem, guint count, bool is_ready,
-                  int64_t now_us, GPtrArray *out)
+                  double random, int64_t now_us, GPtrArray *out)
 {
-    for (guint i = 0; i < count; i++) {
-        const struct mem_vm *vm = g_ptr_array_index(mem->ranked, i);
-        bool is_usable = vm == mem->self
-                             ? is_ready
-                             : vm->is_ready && mem_is_live(mem, vm, now_us);
+    guint first = (guint)(random * count);
+    for (guint i = 0; i < count && out->len < MEM_ADDRESSES_MAX; i++) {
+        const struct mem_vm *vm =
+            g_ptr_array_index(mem->ranked, (first + i) % count);
+        bool is_usable =
+            vm == mem->self ? is_ready : mem_is_usable(mem, vm, now_us);
         if (is_usable) {
             g_ptr_array_add(out, vm->request_address);
         }
@@ -378,13 +418,14 @@
 }
 
 void
-mem_addresses(struct mem *mem, bool is_ready, int64_t now_us, GPtrArray *out)
+mem_addresses(struct mem *mem, bool is_ready, double random, int64_t now_us,
+              GPtrArray *out)
 {
     mem_rank(mem);
-    mem_add_addresses(mem, mem->strong_count, is_ready, now_us, out);
+    mem_add_addresses(mem, mem->strong_count, is_ready, random, now_us, out);
     if (out->len >= MIN(MEM_STRONG_MIN, mem->strong_count)) {
         return;
     }
     g_ptr_array_set_size(out, 0);
-    mem_add_addresses(mem, mem->ranked->len, is_ready, now_us, out);
+    mem_add_addresses(mem, mem->ranked->len, is_ready, random, now_us, out);
 }
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -52,10 +52,22 @@
     }
 }
 
-/* Appends this VM's heartbeat to a new buffer. */
+/* Appends this VM's heartbeat to a new buffer; an answer names some VMs. */
 static void
-pio_encode_beat(const struct app *app, bool is_reply, msgpack_sbuffer *out)
+pio_encode_beat(struct app *app, bool is_reply, msgpack_sbuffer *out)
 {
+    struct msg_vouched vouched[MEM_VOUCHED_MAX];
+    GPtrArray *vms = g_ptr_array_new();
+    if (is_reply) {
+        mem_vouch(&app->mem, app_now_us(), vms);
+    }
+    for (guint i = 0; i < vms->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(vms, i);
+        vouched[i] = (struct msg_vouched){
+            .name = vm->name,
+            .request_address = vm->request_address,
+        };
+    }
     int64_t changes[MEM_KIND_COUNT];
     syn_changes(&app->syn, changes);
     struct msg_vm_beat beat = {
@@ -70,11 +82,14 @@
         .config_change = changes[MEM_CONFIG],
         .backend_change = changes[MEM_BACKENDS],
         .drain_change = changes[MEM_DRAINED_DCS],
+        .vouched = vouched,
+        .vouched_count = vms->len,
     };
     msgpack_sbuffer_init(out);
     if (msg_encode(MSG_VM_BEAT, &beat, out) != RC_OK) {
         log_error("peer", "heartbeat cannot be encoded");
     }
+    g_ptr_array_free(vms, TRUE);
 }
 
 static void
@@ -97,6 +112,10 @@
     syn_changes(&app->syn, own);
     int64_t now_us = app_now_us();
     mem_on_beat(&app->mem, &beat, own, now_us);
+    for (size_t i = 0; i < in->vouched_count; i++) {
+        mem_on_vouched(&app->mem, in->vouched[i].name,
+                       in->vouched[i].request_address, now_us);
+    }
     if (!beat.is_reply && mem_must_reply(&app->mem, beat.name, now_us)) {
         msgpack_sbuffer buffer;
         pio_encode_beat(app, true, &buffer);
--- a/include/common/msg.h
+++ b/include/common/msg.h
@@ -311,6 +311,12 @@
     size_t member_count;
 };
 
+/* A VM that the sender of a heartbeat knows to be alive and ready. */
+struct msg_vouched {
+    const char *name;
+    const char *request_address;
+};
+
 /* Heartbeat of a gateway to the other VMs. */
 struct msg_vm_beat {
     const char *name;
@@ -324,6 +330,8 @@
     int64_t config_change; /* store revisions of the newest changes known */
     int64_t backend_change;
     int64_t drain_change;
+    struct msg_vouched *vouched; /* some of the VMs, others each time */
+    size_t vouched_count;
 };
 
 /* A decoded message; `body` points to the struct of `type`. */
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -56,6 +56,9 @@
 /* Fetches what is due, for news that should not wait for the next tick. */
 void app_sync(struct app *app);
 
+/* A number from 0 to 1; `ctx` is the struct app. */
+double app_random(void *ctx);
+
 /* Whether this VM takes requests. */
 bool app_is_ready(const struct app *app);
 
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -36,6 +36,14 @@
     int64_t changes[MEM_KIND_COUNT]; /* store revisions, 0: nothing known */
 };
 
+/* Hubs name this many live VMs in each answer to a heartbeat, others each
+ * time, since a VM hears of the hubs only. */
+#define MEM_VOUCHED_MAX 4
+/* How long a VM that a hub named is taken as alive. */
+#define MEM_VOUCHED_US (4 * 1000 * 1000)
+/* Addresses that an answer to a caller may hold. */
+#define MEM_ADDRESSES_MAX 64
+
 struct mem_vm {
     char *name;
     uint64_t start; /* 0 until heard of */
@@ -45,9 +53,10 @@
     uint32_t capacity; /* thousandths of a core */
     bool is_listed;
     bool is_ready;
-    int64_t heard_us; /* 0: never */
-    int64_t asked_us; /* first heartbeat sent since it was heard, 0: none */
-    int64_t retry_us; /* when one that is dead gets the next heartbeat */
+    int64_t heard_us;   /* 0: never */
+    int64_t vouched_us; /* when a hub named it as alive */
+    int64_t asked_us;   /* first heartbeat sent since it was heard, 0: none */
+    int64_t retry_us;   /* when one that is dead gets the next heartbeat */
     int64_t changes[MEM_KIND_COUNT];
     int64_t ahead_us[MEM_KIND_COUNT]; /* since when it knows more, 0: not */
 };
@@ -58,6 +67,7 @@
     GPtrArray *ranked;     /* all, strong ones first; NULL when out of date */
     uint32_t strong_count; /* at the begin of `ranked` */
     bool has_list;         /* a list of the store was read */
+    guint vouched_next;    /* in `ranked`, to be named next */
 };
 
 /* VMs that are taken to be sending until the list of them was read. */
@@ -100,6 +110,13 @@
 /* Time between two heartbeats to a VM. */
 int64_t mem_beat_ivl_us(const struct mem *mem);
 
+/* A hub named the VM as alive and ready. */
+void mem_on_vouched(struct mem *mem, const char *name,
+                    const char *request_address, int64_t now_us);
+
+/* Appends the VMs (struct mem_vm) to be named in the next answer. */
+void mem_vouch(struct mem *mem, int64_t now_us, GPtrArray *out);
+
 bool mem_is_live(const struct mem *mem, const struct mem_vm *vm,
                  int64_t now_us);
 
@@ -131,9 +148,10 @@
 /*
  * Appends the addresses (char *, not owned) that callers should use: those of
  * the live and ready strong VMs, this one included if it `is_ready`; without
- * enough of them, of all that are live and ready.
+ * enough of them, of all that are live and ready. Of more than
+ * MEM_ADDRESSES_MAX `random` (0 to 1) picks a range.
  */
-void mem_addresses(struct mem *mem, bool is_ready, int64_t now_us,
-                   GPtrArray *out);
+void mem_addresses(struct mem *mem, bool is_ready, double random,
+                   int64_t now_us, GPtrArray *out);
 
 #endif
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -186,6 +186,15 @@
     bke_note(&test->gtw.backends, &entry, test->now_us);
 }
 
+/* > latency ID MS: what is known of the backend server's answers. */
+static void
+run_latency(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    bke_find(&test->gtw.backends, argv[1])->latency_us =
+        scr_number(argc, argv, 2) * MS;
+}
+
 /* > lapse ID IN_MS */
 static void
 run_lapse(void *ctx, int argc, char **argv, GString *out)
@@ -463,6 +472,7 @@
     {"lost", run_lost},       {"wait", run_wait},
     {"split", run_split},     {"end-all", run_end_all},
     {"counter", run_counter}, {"serve", run_serve},
+    {"latency", run_latency},
 };
 
 static void
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -136,7 +136,7 @@
     struct module_test *test = ctx;
     int64_t now_us = scr_number(argc, argv, 1) * MS;
     GPtrArray *addresses = g_ptr_array_new();
-    mem_addresses(&test->mem, false, now_us, addresses);
+    mem_addresses(&test->mem, false, 0.5, now_us, addresses);
     GPtrArray *hubs = g_ptr_array_new();
     bool is_hub = mem_hubs(&test->mem, now_us, hubs);
     g_string_append_printf(
@@ -161,6 +161,29 @@
     g_ptr_array_free(targets, TRUE);
 }
 
+/* > vouched NOW NAME: a hub names it. */
+static void
+run_vouched(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    mem_on_vouched(&test->mem, argv[2], argv[2],
+                   scr_number(argc, argv, 1) * MS);
+}
+
+/* > vouch NOW: the VMs that an answer names. */
+static void
+run_vouch(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    GPtrArray *vms = g_ptr_array_new();
+    mem_vouch(&test->mem, scr_number(argc, argv, 1) * MS, vms);
+    for (guint i = 0; i < vms->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(vms, i);
+        g_string_append_printf(out, "%s ", vm->name);
+    }
+    g_ptr_array_free(vms, TRUE);
+}
+
 /* > must-reply NOW NAME */
 static void
 run_must_reply(void *ctx, int argc, char **argv, GString *out)
@@ -373,6 +396,7 @@
     {"stale", run_stale},       {"reset", run_reset},
     {"settings", run_settings}, {"news", run_news},
     {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
+    {"vouched", run_vouched},   {"vouch", run_vouch},
 };
 
 static void
