gateway: fewer bytes between data centres

Change: only replicas that looked worse are probed; a VM that is no hub sends heartbeats to three hubs, and asks for news one of its own data centre first. Counters and the totals line tell local and remote sends.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -203,10 +203,13 @@
 {
     log_info("app",
              "totals answers=%" PRIu64 " p50_us=%" PRId64 " p99_us=%" PRId64
+             " sends_local=%" PRIu64 " sends_remote=%" PRIu64
              " hedges=%" PRIu64 " hedges_refused=%" PRIu64 " connects=%" PRIu64
              " open_requests=%u vms=%u",
              app->answer_us.total, hst_value_at(&app->answer_us, 500),
              hst_value_at(&app->answer_us, 990),
+             *cnt_get(app->counters, "gateway_sends", "local"),
+             *cnt_get(app->counters, "gateway_sends", "remote"),
              *cnt_get(app->counters, "gateway_hedges", NULL),
              *cnt_get(app->counters, "gateway_hedges_refused", "budget"),
              *cnt_get(app->counters, "gateway_connects", NULL),
@@ -423,6 +426,7 @@
     app_use_bounds(app);
     mem_init(&app->mem, app->settings.vm, (uint32_t)app->settings.capacity);
     app->mem.self->request_address = g_strdup(app->settings.request_listen);
+    app->mem.self->dc = g_strdup(app->settings.dc);
     syn_init(&app->syn, &app_syn_calls, app);
     app->store = sto_new(app);
     int rc = pio_new(app, &app->peers);
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -16,7 +16,7 @@
 #define CHS_PERMILLE 1000
 /* One whose answers take this many times the usual time has a queue. */
 #define CHS_LOADED_PERMILLE 3500
-/* One that got nothing for this long gets one request in CHS_PROBE_SHARE. */
+/* One that looked worse for this long gets this share of the requests. */
 #define CHS_PROBE_IVL_US (1000 * 1000)
 #define CHS_PROBE_SHARE 0.15
 /* Replicas whose expected times differ by less are as good as each other. */
@@ -135,14 +135,26 @@
     return RC_OK;
 }
 
-/* One that is due to be looked at again, or NULL. */
+/* Replicas with at most this expected time are as good as the best one. */
+static int64_t
+chs_limit_us(const struct chs_candidate *candidates, uint32_t count)
+{
+    int64_t best_us = INT64_MAX;
+    for (uint32_t i = 0; i < count; i++) {
+        best_us = MIN(best_us, candidates[i].cost_us);
+    }
+    return best_us * CHS_EQUAL_PERMILLE / CHS_PERMILLE + CHS_EQUAL_US;
+}
+
+/* One that looked worse for a while and is due to be tried again, or NULL. */
 static struct bke *
 chs_probe(const struct chs_candidate *candidates, uint32_t count,
           int64_t now_us)
 {
+    int64_t limit_us = chs_limit_us(candidates, count);
     for (uint32_t i = 0; i < count; i++) {
         struct bke *backend = candidates[i].backend;
-        if (backend->chosen_us > 0 &&
+        if (candidates[i].cost_us > limit_us && backend->chosen_us > 0 &&
             now_us - backend->chosen_us >= CHS_PROBE_IVL_US &&
             now_us >= backend->avoid_us && bke_busy_count(backend) == 0) {
             return backend;
@@ -158,11 +170,7 @@
 static struct bke *
 chs_pick(const struct chs_candidate *candidates, uint32_t count, double random)
 {
-    int64_t best_us = INT64_MAX;
-    for (uint32_t i = 0; i < count; i++) {
-        best_us = MIN(best_us, candidates[i].cost_us);
-    }
-    int64_t limit_us = best_us * CHS_EQUAL_PERMILLE / 1000 + CHS_EQUAL_US;
+    int64_t limit_us = chs_limit_us(candidates, count);
     uint32_t equal[CHS_CANDIDATES_MAX];
     uint32_t equal_count = 0;
     bool is_remote = true;
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -136,7 +136,7 @@
 
 void
 mem_list_note(struct mem *mem, const char *name, const char *peer_address,
-              uint32_t capacity)
+              const char *dc, uint32_t capacity)
 {
     if (mem_is_self(mem, name)) {
         return;
@@ -145,6 +145,7 @@
     vm->is_listed = true;
     if (vm->heard_us == 0) {
         mem_replace(&vm->peer_address, peer_address);
+        mem_replace(&vm->dc, dc);
         mem_set_capacity(mem, vm, capacity);
     }
 }
@@ -222,10 +223,6 @@
 mem_vouch(struct mem *mem, int64_t now_us, GPtrArray *out)
 {
     mem_rank(mem);
-    if (mem->strong_count <= MEM_HUBS_MAX) {
-        /* All strong VMs are hubs, of which each VM hears itself. */
-        return;
-    }
     for (guint i = 0; i < mem->strong_count && out->len < MEM_VOUCHED_MAX;
          i++) {
         mem->vouched_next = (mem->vouched_next + 1) % mem->strong_count;
@@ -240,7 +237,7 @@
 mem_beat_ivl_us(const struct mem *mem)
 {
     bool is_large = g_hash_table_size(mem->vms) >= MEM_LARGE_COUNT;
-    return is_large ? MEM_BEAT_LARGE_IVL_US : MEM_BEAT_IVL_US;
+    return is_large && !mem->is_hub ? MEM_BEAT_LARGE_IVL_US : MEM_BEAT_IVL_US;
 }
 
 static int64_t
@@ -300,10 +297,29 @@
     return is_follower;
 }
 
+/* Moves the VMs of this one's data centre to the front. */
+static void
+mem_own_dc_first(const struct mem *mem, GPtrArray *vms)
+{
+    guint front = 0;
+    for (guint i = 0; i < vms->len; i++) {
+        struct mem_vm *vm = g_ptr_array_index(vms, i);
+        if (g_strcmp0(vm->dc, mem->self->dc) == 0) {
+            vms->pdata[i] = vms->pdata[front];
+            vms->pdata[front] = vm;
+            front += 1;
+        }
+    }
+}
+
 void
 mem_beat_targets(struct mem *mem, int64_t now_us, GPtrArray *out)
 {
-    (void)mem_hubs(mem, now_us, out);
+    mem->is_hub = mem_hubs(mem, now_us, out);
+    if (!mem->is_hub) {
+        mem_own_dc_first(mem, out);
+        g_ptr_array_set_size(out, (gint)MIN(out->len, MEM_PARENTS_MAX));
+    }
     /* Strong VMs that died may have come back. */
     for (guint i = 0; i < MIN(mem->strong_count, MEM_HUBS_MAX); i++) {
         struct mem_vm *vm = g_ptr_array_index(mem->ranked, i);
@@ -384,7 +400,12 @@
             now_us - vm->ahead_us[kind] < ahead_us) {
             continue;
         }
-        if (best == NULL || vm->changes[kind] > best->changes[kind]) {
+        bool is_near = g_strcmp0(vm->dc, mem->self->dc) == 0;
+        bool is_best_near =
+            best != NULL && g_strcmp0(best->dc, mem->self->dc) == 0;
+        if (best == NULL || is_near > is_best_near ||
+            (is_near == is_best_near &&
+             vm->changes[kind] > best->changes[kind])) {
             best = vm;
         }
     }
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -117,6 +117,8 @@
     }
     att->is_sent = true;
     ask->send_count += 1;
+    bool is_remote = g_strcmp0(att->backend->dc, gtw->dc) != 0;
+    cnt_add(gtw->counters, "gateway_sends", is_remote ? "remote" : "local");
     chs_on_send(att->backend, now_us);
     return RC_OK;
 }
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -170,7 +170,8 @@
     for (size_t i = 0; i < objects->reply.object_count; i++) {
         struct wir_vm vm;
         if (app->wire->read_vm(&objects->reply.objects[i], &vm) == RC_OK) {
-            mem_list_note(&app->mem, vm.name, vm.peer_address, vm.capacity);
+            mem_list_note(&app->mem, vm.name, vm.peer_address, vm.dc,
+                          vm.capacity);
         }
     }
     mem_list_end(&app->mem, app_now_us());
@@ -272,6 +273,7 @@
     struct wir_vm vm = {
         .name = app->settings.vm,
         .peer_address = app->peer_address,
+        .dc = app->settings.dc,
         .capacity = (uint32_t)app->settings.capacity,
     };
     char *body = has_body ? app->wire->write_vm(&vm) : NULL;
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -36,8 +36,11 @@
     int64_t changes[MEM_KIND_COUNT]; /* store revisions, 0: nothing known */
 };
 
+/* A VM that is no hub sends heartbeats to this many hubs, those of its data
+ * centre first. */
+#define MEM_PARENTS_MAX 3
 /* Hubs name this many live VMs in each answer to a heartbeat, others each
- * time, since a VM hears of the hubs only. */
+ * time, since the VM hears of few others. */
 #define MEM_VOUCHED_MAX 4
 /* How long a VM that a hub named is taken as alive. */
 #define MEM_VOUCHED_US (4 * 1000 * 1000)
@@ -67,6 +70,7 @@
     GPtrArray *ranked;     /* all, strong ones first; NULL when out of date */
     uint32_t strong_count; /* at the begin of `ranked` */
     bool has_list;         /* a list of the store was read */
+    bool is_hub;           /* at the last heartbeat */
     guint vouched_next;    /* in `ranked`, to be named next */
 };
 
@@ -75,8 +79,8 @@
 /* With fewer live strong VMs callers are sent to all. */
 #define MEM_STRONG_MIN 2
 
-/* Heartbeats in a small and in a large fleet. A VM that was not heard of for
- * MEM_DEAD_BEATS of them is taken as dead. */
+/* Heartbeats of hubs, and of the others in a large fleet. A VM that was not
+ * heard of for MEM_DEAD_BEATS of them is taken as dead. */
 #define MEM_BEAT_IVL_US (500 * 1000)
 #define MEM_BEAT_LARGE_IVL_US (1000 * 1000)
 #define MEM_LARGE_COUNT 16
@@ -100,7 +104,7 @@
  * listed. */
 void mem_list_begin(struct mem *mem);
 void mem_list_note(struct mem *mem, const char *name, const char *peer_address,
-                   uint32_t capacity);
+                   const char *dc, uint32_t capacity);
 void mem_list_end(struct mem *mem, int64_t now_us);
 
 /* A heartbeat arrived; `own` are the changes that this VM knows. */
@@ -127,7 +131,8 @@
 /* Whether this VM leaves following the store to a hub. */
 bool mem_is_follower(struct mem *mem, int64_t now_us);
 
-/* Appends the VMs (struct mem_vm) that get a heartbeat now and notes it. */
+/* Appends the VMs (struct mem_vm) that get a heartbeat now and notes it: for a
+ * hub all hubs, else some of them. */
 void mem_beat_targets(struct mem *mem, int64_t now_us, GPtrArray *out);
 
 /* Whether the heartbeat of this VM is to be answered: it gets none else. */
@@ -140,8 +145,8 @@
  */
 uint32_t mem_sender_count(struct mem *mem, int64_t now_us);
 
-/* A live VM that has known newer changes of the kind for `ahead_us`, or NULL.
- */
+/* A live VM that has known newer changes of the kind for `ahead_us`, or NULL;
+ * one of this data centre goes first. */
 const struct mem_vm *mem_ahead(const struct mem *mem, enum mem_kind kind,
                                int64_t own, int64_t ahead_us, int64_t now_us);
 
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -25,6 +25,7 @@
 struct wir_vm {
     const char *name;
     const char *peer_address;
+    const char *dc;
     uint32_t capacity; /* thousandths of a core */
 };
 
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -94,7 +94,7 @@
 
 #define CAPACITY 250
 
-/* > mem-list NOW NAME[=CAPACITY]... */
+/* > mem-list NOW NAME[=CAPACITY[@DC]]... */
 static void
 run_mem_list(void *ctx, int argc, char **argv, GString *out)
 {
@@ -102,8 +102,12 @@
     mem_list_begin(&test->mem);
     for (int i = 2; i < argc; i++) {
         char **pair = g_strsplit(argv[i], "=", 2);
+        char **place = g_strsplit(pair[1] != NULL ? pair[1] : "", "@", 2);
+        bool has_capacity = place[0] != NULL && *place[0] != '\0';
         mem_list_note(&test->mem, pair[0], pair[0],
-                      pair[1] != NULL ? (uint32_t)atoi(pair[1]) : CAPACITY);
+                      has_capacity && place[1] != NULL ? place[1] : "d1",
+                      has_capacity ? (uint32_t)atoi(place[0]) : CAPACITY);
+        g_strfreev(place);
         g_strfreev(pair);
     }
     mem_list_end(&test->mem, scr_number(argc, argv, 1) * MS);
@@ -333,6 +337,7 @@
     *test = (struct module_test){.out = NULL};
     mem_init(&test->mem, "self", capacity);
     test->mem.self->request_address = g_strdup("self");
+    test->mem.self->dc = g_strdup("d1");
     syn_init(&test->syn, &fake_calls, test);
 }
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -131,8 +131,10 @@
 static void
 run_write_vm(void *ctx, int argc, char **argv, GString *out)
 {
-    char *text = plt_write_vm(&(struct wir_vm){
-        .name = "v1", .peer_address = "127.0.0.1:1", .capacity = 250});
+    char *text = plt_write_vm(&(struct wir_vm){.name = "v1",
+                                               .peer_address = "127.0.0.1:1",
+                                               .dc = "d1",
+                                               .capacity = 250});
     g_string_append(out, text);
     g_free(text);
 }
