gateway: list the VMs again rarely and with stale reads

Change: hubs read it again every 10 s, the others every 60 s, both with stale reads, which cost a tenth; heartbeats tell the rest.

--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -9,8 +9,10 @@
  * followed, one for the VMs' own objects. */
 
 #define STO_BODY_MAX_BYTES (16 * 1024 * 1024)
-/* How often the list of VMs is read; stale reads cost a tenth. */
+/* How often the list of VMs is read again, by hubs and by the others, who hear
+ * of VMs from hubs. */
 #define STO_VMS_IVL_US (10LL * 1000 * 1000)
+#define STO_VMS_FOLLOWER_IVL_US (60LL * 1000 * 1000)
 #define STO_RETRY_US (1000 * 1000)
 #define STO_TIMEOUT_US (2000 * 1000)
 
@@ -41,6 +43,7 @@
     bool is_in_flight;
     bool is_written;
     bool is_listed;
+    bool is_known; /* written and listed once */
     int64_t due_us;
     int64_t sent_us;
 };
@@ -250,7 +253,11 @@
                  vms->step, response->status);
     }
     vms->step = vms->is_written ? STO_LIST : vms->step;
-    sto_vms_end(vms, is_done ? STO_VMS_IVL_US : STO_RETRY_US);
+    vms->is_known = vms->is_known || is_done;
+    int64_t again_us = mem_is_follower(&vms->app->mem, app_now_us())
+                           ? STO_VMS_FOLLOWER_IVL_US
+                           : STO_VMS_IVL_US;
+    sto_vms_end(vms, is_done ? again_us : STO_RETRY_US);
 }
 
 /* Sends the call of the step on the open connection. */
@@ -269,7 +276,10 @@
     };
     bool is_one = vms->step == STO_REPLACE || vms->step == STO_DELETE;
     bool has_body = vms->step == STO_CREATE || vms->step == STO_REPLACE;
-    char *path = app->wire->vms_path(is_one ? app->settings.vm : NULL);
+    bool is_again = vms->step == STO_LIST && vms->is_known;
+    char *path = is_again
+                     ? app->wire->vms_stale_path()
+                     : app->wire->vms_path(is_one ? app->settings.vm : NULL);
     struct wir_vm vm = {
         .name = app->settings.vm,
         .peer_address = app->peer_address,
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -51,6 +51,8 @@
 
     /* Paths and bodies of the VMs' own objects; free with g_free. */
     char *(*vms_path)(const char *name); /* NULL: the list of all */
+    char *(*vms_stale_path)(
+        void); /* the list, possibly seconds old, cheaper */
     char *(*write_vm)(const struct wir_vm *vm);
     /* Returns RC_OK or RC_INVALID. */
     int (*read_vm)(const struct syn_object *object, struct wir_vm *out);
--- a/include/platform/platform.h
+++ b/include/platform/platform.h
@@ -15,6 +15,7 @@
 int plt_read_config(const struct syn_object *object, struct gcf **out);
 int plt_read_backend(const struct syn_object *object, struct bke_entry *out);
 char *plt_vms_path(const char *name);
+char *plt_vms_stale_path(void);
 char *plt_write_vm(const struct wir_vm *vm);
 int plt_read_vm(const struct syn_object *object, struct wir_vm *out);
 
