--- a/common/http_server.c
+++ b/common/http_server.c
@@ -294,12 +294,7 @@
 hsv_respond(struct hsv_request *request, int status, const char *content_type,
             const void *body, size_t body_bytes)
 {
-    struct http_field field = {
-        .name = "content-type",
-        .name_bytes = strlen("content-type"),
-        .value = content_type,
-        .value_bytes = strlen(content_type),
-    };
+    struct http_field field = http_field_of("content-type", content_type);
     hsv_respond_fields(request, status, &field, 1, body, body_bytes);
 }
 
--- a/include/common/http_field.h
+++ b/include/common/http_field.h
@@ -14,6 +14,18 @@
     size_t value_bytes;
 };
 
+/* The header with this name and value; both stay the caller's. */
+static inline struct http_field
+http_field_of(const char *name, const char *value)
+{
+    return (struct http_field){
+        .name = name,
+        .name_bytes = strlen(name),
+        .value = value,
+        .value_bytes = strlen(value),
+    };
+}
+
 /* Whether the header has this name, in any case. */
 static inline bool
 http_field_is(const struct http_field *field, const char *name)
--- a/soak/server.c
+++ b/soak/server.c
@@ -25,17 +25,6 @@
     return atoi(stamp + 1);
 }
 
-static struct http_field
-ssr_field(const char *name, const char *value)
-{
-    return (struct http_field){
-        .name = name,
-        .name_bytes = strlen(name),
-        .value = value,
-        .value_bytes = strlen(value),
-    };
-}
-
 /* The records that a shard holds for a request: all replicas agree. */
 static void
 ssr_records(const char *id, int service, char *out)
@@ -57,10 +46,10 @@
     ssr_records(work->id, server->service, body);
     const char *id = work->is_spoiled ? "another" : work->id;
     struct http_field fields[] = {
-        ssr_field("x-request-id", id),
-        ssr_field("x-response-stamp", work->stamp),
-        ssr_field("content-type", "application/octet-stream"),
-        ssr_field("keep-alive", "timeout=5"),
+        http_field_of("x-request-id", id),
+        http_field_of("x-response-stamp", work->stamp),
+        http_field_of("content-type", "application/octet-stream"),
+        http_field_of("keep-alive", "timeout=5"),
     };
     hsv_respond_fields(work->http, 200, fields, G_N_ELEMENTS(fields), body,
                        sizeof(body));
@@ -85,8 +74,8 @@
            const char *id)
 {
     struct http_field fields[] = {
-        ssr_field("x-not-executed", "1"),
-        ssr_field("x-request-id", id != NULL ? id : ""),
+        http_field_of("x-not-executed", "1"),
+        http_field_of("x-request-id", id != NULL ? id : ""),
     };
     hsv_respond_fields(http, status, fields, 2, "", 0);
 }
