--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -71,7 +71,9 @@
 static void
 prx_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-    *buf = uv_buf_init(g_malloc(PRX_READ_BYTES), PRX_READ_BYTES);
+    /* One for all connections: a read is passed on before the next one. */
+    static char buffer[PRX_READ_BYTES];
+    *buf = uv_buf_init(buffer, sizeof(buffer));
 }
 
 static void
@@ -113,20 +115,19 @@
 }
 
 static void
-prx_pass(struct prx_pipe *pipe, char *base, size_t bytes)
+prx_pass(struct prx_pipe *pipe, const char *base, size_t bytes)
 {
     struct prx_conn *conn = pipe->conn;
     enum prx_mode mode = conn->proxy->mode;
     bool is_cut = mode == PRX_SILENT || conn->is_silent ||
                   (mode == PRX_ONE_WAY && pipe->is_back);
     if (is_cut) {
-        g_free(base);
         return;
     }
     struct prx_chunk *chunk = g_new0(struct prx_chunk, 1);
     chunk->conn = conn;
     chunk->to = pipe->to;
-    chunk->buf = uv_buf_init(base, (unsigned)bytes);
+    chunk->buf = uv_buf_init(g_memdup2(base, bytes), (unsigned)bytes);
     if (mode != PRX_DELAY) {
         prx_forward(chunk);
         return;
@@ -147,7 +148,6 @@
         prx_pass(pipe, buf->base, (size_t)nread);
         return;
     }
-    g_free(buf->base);
     bool is_silent = conn->proxy->mode == PRX_SILENT || conn->is_silent;
     if (nread == 0) {
         return;
