--- a/relay/hedge.c
+++ b/common/hedge.c
@@ -1,4 +1,4 @@
-#include "relay/hedge.h"
+#include "common/hedge.h"
 
 #define HDG_BURST_TOKENS 8
 /* Earlier than p90 wastes the budget; later than p985 waits for the
--- a/include/relay/hedge.h
+++ b/include/common/hedge.h
@@ -1,5 +1,5 @@
-#ifndef CH_RELAY_HEDGE_H
-#define CH_RELAY_HEDGE_H
+#ifndef CH_COMMON_HEDGE_H
+#define CH_COMMON_HEDGE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -9,7 +9,7 @@
 #include "gateway/backend.h"
 #include "gateway/choose.h"
 #include "gateway/config.h"
-#include "relay/hedge.h"
+#include "common/hedge.h"
 
 /*
  * The path of requests of one VM, without its I/O: what arrives is passed in
--- a/include/relay/instance.h
+++ b/include/relay/instance.h
@@ -8,7 +8,7 @@
 #include "common/budget.h"
 #include "common/config.h"
 #include "common/msg.h"
-#include "relay/hedge.h"
+#include "common/hedge.h"
 #include "relay/queue.h"
 #include "relay/searcher.h"
 
--- a/tests/relay/test_modules.c
+++ b/tests/relay/test_modules.c
@@ -12,7 +12,7 @@
 #include "relay/body.h"
 #include "relay/cold.h"
 #include "relay/dedup.h"
-#include "relay/hedge.h"
+#include "common/hedge.h"
 #include "relay/link.h"
 #include "relay/queue.h"
 #include "script.h"
