gateway: log hedges and retries with what decided them

Cause: the users ask for a line for each decision that touches a request; hedges and retries were only counted in the line of its end.

Change: one line each, with the server, its age and the budget left, from half of the lines that requests may cause in a second. ask_log is split.

--- a/common/log.c
+++ b/common/log.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <log4c.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/time.h>
@@ -170,19 +171,41 @@
     va_end(args);
 }
 
-void
-log_sample(const char *module, const char *format, ...)
+/* Takes one of this second's lines; false if `limit` are used up. */
+static bool
+log_take_sample(unsigned limit)
 {
     gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
     if (second != log_sample_second) {
         log_sample_second = second;
         log_sample_count = 0;
     }
-    if (log_sample_count >= LOG_SAMPLES_PER_S) {
+    if (log_sample_count >= limit) {
         log_dropped += 1;
-        return;
+        return false;
     }
     log_sample_count += 1;
+    return true;
+}
+
+void
+log_sample(const char *module, const char *format, ...)
+{
+    if (!log_take_sample(LOG_SAMPLES_PER_S)) {
+        return;
+    }
+    va_list args;
+    va_start(args, format);
+    log_write_args(LOG_LEVEL_INFO, module, format, args);
+    va_end(args);
+}
+
+void
+log_step(const char *module, const char *format, ...)
+{
+    if (!log_take_sample(LOG_SAMPLES_PER_S / 2)) {
+        return;
+    }
     va_list args;
     va_start(args, format);
     log_write_args(LOG_LEVEL_INFO, module, format, args);
--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -57,7 +57,23 @@
     }
 }
 
-/* One line for a request that was not served in time. */
+static void
+ask_log_missing(const struct prt *part, int64_t now_us)
+{
+    const struct att *last = part->attempt_count > 0
+                                 ? &part->attempts[part->attempt_count - 1]
+                                 : NULL;
+    log_sample("request",
+               "part missing id=%s service=%s rc=%s attempts=%u "
+               "backend=%s sent=%d age_ms=%" G_GINT64_FORMAT,
+               part->ask->request.id, part->service->name,
+               part->state == PRT_OPEN ? "open" : rc_name(part->rc),
+               part->attempt_count, last != NULL ? last->backend->id : "none",
+               last != NULL ? last->is_sent : 0,
+               last != NULL ? (now_us - last->started_us) / 1000 : 0);
+}
+
+/* Lines for a request that failed, was late or misses parts. */
 static void
 ask_log(const struct ask *ask, const struct ask_answer *answer, int64_t now_us)
 {
@@ -78,22 +94,9 @@
                ask->done_count, ask->failed_count, ask->send_count,
                ask->hedge_count, ask->retry_count, ask->gtw->vms);
     for (uint32_t i = 0; i < ask->part_count; i++) {
-        const struct prt *part = &ask->parts[i];
-        if (part->state == PRT_DONE) {
-            continue;
+        if (ask->parts[i].state != PRT_DONE) {
+            ask_log_missing(&ask->parts[i], now_us);
         }
-        const struct att *last = part->attempt_count > 0
-                                     ? &part->attempts[part->attempt_count - 1]
-                                     : NULL;
-        log_sample("request",
-                   "part missing id=%s service=%s rc=%s attempts=%u "
-                   "backend=%s sent=%d age_ms=%" G_GINT64_FORMAT,
-                   ask->request.id, part->service->name,
-                   part->state == PRT_OPEN ? "open" : rc_name(part->rc),
-                   part->attempt_count,
-                   last != NULL ? last->backend->id : "none",
-                   last != NULL ? last->is_sent : 0,
-                   last != NULL ? (now_us - last->started_us) / 1000 : 0);
     }
 }
 
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -223,6 +223,13 @@
         cnt_add(gtw->counters, "gateway_hedges_refused", "budget");
         return;
     }
+    const struct att *first = &part->attempts[part->attempt_count - 1];
+    log_step("request",
+             "hedged id=%s service=%s backend=%s age_us=%" G_GINT64_FORMAT
+             " to=%s to_usual_us=%" G_GINT64_FORMAT " extra_sends_left=%u",
+             part->ask->request.id, part->service->name, first->backend->id,
+             now_us - first->started_us, backend->id, backend->latency_us,
+             (uint32_t)(budget->millitokens / 1000));
     if (prt_attempt(part, backend, true, now_us)) {
         part->ask->hedge_count += 1;
         cnt_add(gtw->counters, "gateway_hedges", NULL);
@@ -370,6 +377,12 @@
     }
     if (prt_may_retry(part, att)) {
         cnt_add(gtw->counters, "gateway_retries", rc_name(rc));
+        log_step("request",
+                 "retried id=%s service=%s backend=%s rc=%s "
+                 "age_us=%" G_GINT64_FORMAT " failures=%u",
+                 part->ask->request.id, part->service->name, att->backend->id,
+                 rc_name(rc), now_us - att->started_us,
+                 att->backend->fail_run);
         prt_try(part, now_us);
     }
     else {
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -39,6 +39,11 @@
 void log_sample(const char *module, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* As log_sample(), for steps of a request: these leave half of the lines for
+ * its end. */
+void log_step(const char *module, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
 void log_write(enum log_level level, const char *module, const char *format,
                ...) __attribute__((format(printf, 3, 4)));
 
