gateway: new links for requests that cannot be repeated, forget old routes

Cause: on the grown sites servers forget idle connections; what is sent next is reset, and a request that cannot be repeated then ends with 502.

Change: such a request is not sent on a link that was idle for 1 s; a new configuration drops what is kept of routes and services it does not name.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -66,6 +66,30 @@
     g_free(gtw->dc);
 }
 
+static gboolean
+gtw_is_unnamed(gpointer name, gpointer value, gpointer names)
+{
+    return !g_hash_table_contains(names, name);
+}
+
+/* Forgets what is known of routes and services that are no longer there. */
+static void
+gtw_forget(struct gtw *gtw)
+{
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, gtw->config->routes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_hash_table_add(names, ((struct gcf_route *)value)->name);
+    }
+    g_hash_table_foreach_remove(gtw->routes, gtw_is_unnamed, names);
+    g_hash_table_foreach_remove(gtw->splits, gtw_is_unnamed, names);
+    g_hash_table_destroy(names);
+    g_hash_table_foreach_remove(gtw->budgets, gtw_is_unnamed,
+                                gtw->config->services);
+}
+
 int
 gtw_adopt(struct gtw *gtw, struct gcf *config)
 {
@@ -81,6 +105,7 @@
              g_hash_table_size(config->services));
     gcf_unref(gtw->config);
     gtw->config = config;
+    gtw_forget(gtw);
     return RC_OK;
 }
 
@@ -207,7 +232,7 @@
     return ask;
 }
 
-/* Answers a request that has no route. */
+/* Answers a request of which nothing was sent. */
 static void
 gtw_refuse(struct gtw *gtw, const struct ask_request *request, int rc)
 {
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -9,6 +9,9 @@
 #define PRT_OVERDUE_US (250 * 1000)
 /* A link of a request that has its answer is kept this long for reuse. */
 #define PRT_KEEP_US (1000 * 1000)
+/* A request that cannot be repeated is not sent on a link that was idle for
+ * longer. */
+#define PRT_ONCE_IDLE_US (1000 * 1000)
 /* Extra sends that hedges leave for retries. */
 #define PRT_RETRY_RESERVE 1
 
@@ -133,6 +136,23 @@
     }
 }
 
+/*
+ * An idle link for the part, or NULL. A backend server may have forgotten a
+ * link that was idle for a while and resets what is sent on it; a request that
+ * cannot be repeated gets a new one instead.
+ */
+static struct bke_link *
+prt_idle_link(const struct prt *part, struct bke *backend, int64_t now_us)
+{
+    struct bke_link *link = bke_idle_link(backend, now_us);
+    if (link == NULL || part->ask->route->is_idempotent ||
+        now_us - link->since_us < PRT_ONCE_IDLE_US) {
+        return link;
+    }
+    bke_drop_link(&part->ask->gtw->backends, link);
+    return NULL;
+}
+
 static bool
 prt_attempt(struct prt *part, struct bke *backend, bool is_hedge,
             int64_t now_us)
@@ -146,7 +166,7 @@
         .is_hedge = is_hedge,
     };
     part->attempt_count += 1;
-    att->link = bke_idle_link(backend, now_us);
+    att->link = prt_idle_link(part, backend, now_us);
     if (att->link == NULL) {
         att->link = bke_open_link(&gtw->backends, backend, att, now_us);
         return att->link != NULL;
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -419,6 +419,17 @@
     gtw_end_all(&test->gtw, test->now_us);
 }
 
+/* > known: routes, services and splits that something is kept for. */
+static void
+run_known(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    g_string_append_printf(out, "routes=%u services=%u splits=%u",
+                           g_hash_table_size(test->gtw.routes),
+                           g_hash_table_size(test->gtw.budgets),
+                           g_hash_table_size(test->gtw.splits));
+}
+
 /* > counter NAME REASON */
 static void
 run_counter(void *ctx, int argc, char **argv, GString *out)
@@ -472,7 +483,7 @@
     {"lost", run_lost},       {"wait", run_wait},
     {"split", run_split},     {"end-all", run_end_all},
     {"counter", run_counter}, {"serve", run_serve},
-    {"latency", run_latency},
+    {"latency", run_latency}, {"known", run_known},
 };
 
 static void
