gateway: links to backend servers use half of the descriptors at most

Cause: a VM's share of connections is counted for each server; with many servers the sum could exceed the descriptors of the process, and callers could not connect.

Change: a limit for all links; near it idle ones are closed after 1 s.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -21,6 +21,8 @@
 /* Time for the last answers to leave. */
 #define APP_FLUSH_US (150 * 1000)
 #define APP_BOUND_SCALE 1000.0
+/* Links to backend servers get half of the descriptors, callers the rest. */
+#define APP_LINK_FILES_DIVISOR 2
 
 int64_t
 app_now_us(void)
@@ -152,6 +154,8 @@
             (double)settings->warmup_overshoot_permille / APP_BOUND_SCALE,
         .warmup_slack = (uint32_t)settings->warmup_slack,
     };
+    app->gtw.backends.link_max =
+        (uint32_t)(settings->files / APP_LINK_FILES_DIVISOR);
 }
 
 static int64_t
@@ -183,6 +187,7 @@
     char *store = app->settings.store;
     app->settings.store = settings.store;
     settings.store = store;
+    app->settings.files = settings.files;
     app->settings.extra_permille = settings.extra_permille;
     app->settings.extra_count = settings.extra_count;
     app->settings.warmup_overshoot_permille =
--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -25,6 +25,7 @@
         .by_id = g_hash_table_new(g_str_hash, g_str_equal),
         .by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)g_ptr_array_unref),
+        .link_max = UINT32_MAX,
         .calls = calls,
         .ctx = ctx,
     };
@@ -158,13 +159,22 @@
     }
 }
 
+static bool
+bke_is_crowded(const struct bke_set *set)
+{
+    return (uint64_t)set->link_count * 10 >= (uint64_t)set->link_max * 9;
+}
+
 /* Links that carry an attempt are its owner's to drop. */
 static void
 bke_tick_links(struct bke_set *set, struct bke *backend, int64_t now_us)
 {
     for (guint i = backend->links->len; i > 0; i--) {
         struct bke_link *link = g_ptr_array_index(backend->links, i - 1);
-        bool is_old = link->state == BKE_IDLE && now_us >= link->expires_us;
+        bool is_old = link->state == BKE_IDLE &&
+                      (now_us >= link->expires_us ||
+                       (bke_is_crowded(set) &&
+                        now_us - link->since_us >= BKE_CROWDED_IDLE_US));
         bool is_abandoned = link->state != BKE_IDLE && link->attempt == NULL &&
                             now_us >= link->abandon_us;
         if (is_old || is_abandoned) {
@@ -231,6 +241,7 @@
     link->since_us = now_us;
     link->attempt = attempt;
     g_ptr_array_add(backend->links, link);
+    set->link_count += 1;
     if (set->calls->connect(link, set->ctx) != RC_OK) {
         bke_drop_link(set, link);
         return NULL;
@@ -279,6 +290,7 @@
 {
     struct bke *backend = link->backend;
     g_ptr_array_remove_fast(backend->links, link);
+    set->link_count -= 1;
     set->calls->close(link, set->ctx);
     g_free(link);
     bke_unref(backend);
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -72,8 +72,8 @@
 }
 
 static bool
-chs_has_link(const struct chs_request *request, const struct bke *backend,
-             int64_t now_us)
+chs_has_link(const struct bke_set *set, const struct chs_request *request,
+             const struct bke *backend, int64_t now_us)
 {
     uint32_t share = shr_connections(request->service->connections_max,
                                      request->bounds.vms);
@@ -87,7 +87,7 @@
         }
     }
     return bke_idle_link(backend, now_us) != NULL ||
-           backend->links->len < share;
+           (backend->links->len < share && set->link_count < set->link_max);
 }
 
 /* Expected time of one more request. */
@@ -117,8 +117,8 @@
 
 /* Whether the backend server may get requests, RC_OK or why it may not. */
 static int
-chs_check(const struct chs_request *request, const struct bke *backend,
-          int64_t now_us)
+chs_check(const struct bke_set *set, const struct chs_request *request,
+          const struct bke *backend, int64_t now_us)
 {
     if (backend->is_draining ||
         g_hash_table_contains(request->drained_dcs, backend->dc)) {
@@ -129,7 +129,7 @@
         return RC_NO_SEARCHER;
     }
     if (chs_is_cold_limited(request, backend, now_us) ||
-        !chs_has_link(request, backend, now_us)) {
+        !chs_has_link(set, request, backend, now_us)) {
         return RC_LIMIT;
     }
     return RC_OK;
@@ -204,7 +204,7 @@
     guint first = (guint)(request->random * all_count);
     for (guint i = 0; i < all_count; i++) {
         struct bke *backend = g_ptr_array_index(all, (first + i) % all_count);
-        int checked = chs_check(request, backend, now_us);
+        int checked = chs_check(set, request, backend, now_us);
         if (checked != RC_OK) {
             rc = rc == RC_LIMIT || checked == RC_NO_SEARCHER ? rc : checked;
             continue;
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -33,6 +33,7 @@
     {"vm", "ip", STG_TEXT, offsetof(struct stg, ip)},
     {"vm", "cores", STG_NUMBER, offsetof(struct stg, capacity), 1000, 1,
      1000000},
+    {"vm", "files", STG_NUMBER, offsetof(struct stg, files), 1, 64, 10000000},
     {"listen", "requests", STG_ADDRESS, offsetof(struct stg, request_listen)},
     {"listen", "ready", STG_ADDRESS, offsetof(struct stg, ready_listen)},
     {"listen", "directory", STG_ADDRESS,
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -76,6 +76,8 @@
 struct bke_set {
     GHashTable *by_id;      /* id -> struct bke */
     GHashTable *by_service; /* name -> GPtrArray of struct bke */
+    uint32_t link_count;
+    uint32_t link_max; /* of all backend servers together */
     const struct bke_calls *calls;
     void *ctx;
 };
@@ -88,6 +90,9 @@
 #define BKE_OUTAGE_HOLD_US (2500 * 1000)
 /* An idle link is not reused after this time. */
 #define BKE_IDLE_MAX_US (20LL * 1000 * 1000)
+/* While nine tenths of the links are open, one that was idle for this long is
+ * closed. */
+#define BKE_CROWDED_IDLE_US (1000 * 1000)
 /* A link that is not up by then is closed. */
 #define BKE_CONNECT_MAX_US (1000 * 1000)
 /* Failures in a row from which a backend server is avoided. */
--- a/include/gateway/settings.h
+++ b/include/gateway/settings.h
@@ -14,6 +14,7 @@
     char *directory_listen;
     char *store;
     int64_t capacity; /* thousandths of a core */
+    int64_t files;    /* descriptors that the process may have */
     int64_t peer_port;
     int64_t metrics_port; /* 0: none */
     int64_t grace_ms;     /* from SIGTERM to SIGKILL */
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -231,6 +231,14 @@
     };
 }
 
+/* > links MAX: of all backend servers together. */
+static void
+run_links(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->gtw.backends.link_max = (uint32_t)scr_number(argc, argv, 1);
+}
+
 /* > stale 0|1 */
 static void
 run_stale(void *ctx, int argc, char **argv, GString *out)
@@ -484,6 +492,7 @@
     {"split", run_split},     {"end-all", run_end_all},
     {"counter", run_counter}, {"serve", run_serve},
     {"latency", run_latency}, {"known", run_known},
+    {"links", run_links},
 };
 
 static void
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -362,6 +362,7 @@
 
 static const char settings_good[] =
     "[vm]\nname = v1\ndata_centre = d1\nip = 127.0.0.1\ncores = 0.25\n"
+    "files = 1000\n"
     "[listen]\nrequests = 127.0.0.1:1\nready = 127.0.0.1:2\n"
     "directory = 127.0.0.1:3\npeer_port = 4\nmetrics_port = 0\n"
     "[store]\naddress = 127.0.0.1:5\n[stop]\ngrace_s = 6\n"
--- a/tests/soak/vm.c
+++ b/tests/soak/vm.c
@@ -14,6 +14,7 @@
     sok_address(vm->sok, SOK_HOST, SOK_STORE_PROXY_PORT + vm->index, store);
     char *text = g_strdup_printf(
         "[vm]\nname = %s\ndata_centre = dc%d\nip = %s\ncores = 0.25\n"
+        "files = 1000\n"
         "[listen]\nrequests = %s:23400\nready = %s:23401\n"
         "directory = %s:23402\npeer_port = 23403\nmetrics_port = 23404\n"
         "[store]\naddress = %s\n[stop]\ngrace_s = %lld\n"
