gateway: delete the objects of lost VMs

Change: each VM writes its object again every 60 s; the first live VM in rank deletes one that was neither written nor heard of for 180 s, if its revision is still the same. After 30 s without a list, as in an outage, ages begin anew.

--- a/gateway/member.c
+++ b/gateway/member.c
@@ -136,13 +136,17 @@
 
 void
 mem_list_note(struct mem *mem, const char *name, const char *peer_address,
-              const char *dc, uint32_t capacity)
+              const char *dc, uint32_t capacity, int64_t revision)
 {
     if (mem_is_self(mem, name)) {
         return;
     }
     struct mem_vm *vm = mem_vm_of(mem, name);
     vm->is_listed = true;
+    if (vm->revision != revision) {
+        vm->revision = revision;
+        vm->renewed_us = 0;
+    }
     if (vm->heard_us == 0) {
         mem_replace(&vm->peer_address, peer_address);
         mem_replace(&vm->dc, dc);
@@ -153,12 +157,17 @@
 void
 mem_list_end(struct mem *mem, int64_t now_us)
 {
+    bool is_gap = now_us - mem->listed_us >= MEM_LIST_GAP_US;
     mem->has_list = true;
+    mem->listed_us = now_us;
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, mem->vms);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct mem_vm *vm = value;
+        struct mem_vm *vm = value;
+        if (vm->renewed_us == 0 || is_gap) {
+            vm->renewed_us = now_us;
+        }
         if (!vm->is_listed && now_us - vm->heard_us >= MEM_FORGET_US) {
             mem_touch(mem);
             g_hash_table_iter_remove(&iter);
@@ -207,6 +216,42 @@
     mem_note_changes(vm, beat->changes, own, now_us);
 }
 
+/* Whether no VM before this one in rank is alive. */
+static bool
+mem_is_first_live(const struct mem *mem, int64_t now_us)
+{
+    for (guint i = 0; i < mem->ranked->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(mem->ranked, i);
+        if (vm == mem->self) {
+            return true;
+        }
+        if (mem_is_live(mem, vm, now_us)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const struct mem_vm *
+mem_lost(struct mem *mem, int64_t now_us)
+{
+    mem_rank(mem);
+    if (!mem_is_first_live(mem, now_us)) {
+        return NULL;
+    }
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, mem->vms);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mem_vm *vm = value;
+        if (vm->is_listed && !mem_is_live(mem, vm, now_us) &&
+            now_us - vm->renewed_us >= MEM_LOST_US) {
+            return vm;
+        }
+    }
+    return NULL;
+}
+
 void
 mem_on_vouched(struct mem *mem, const char *name, const char *request_address,
                int64_t now_us)
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -33,6 +33,7 @@
     STO_CREATE,
     STO_REPLACE,
     STO_DELETE,
+    STO_DELETE_LOST, /* the object of a VM that is lost */
 };
 
 /* The call on the VMs' own objects that is under way. */
@@ -44,6 +45,8 @@
     bool is_written;
     bool is_listed;
     bool is_known; /* written and listed once */
+    int64_t renewals;
+    int64_t renewed_us; /* when the own object was written last */
     int64_t due_us;
     int64_t sent_us;
 };
@@ -174,7 +177,7 @@
         struct wir_vm vm;
         if (app->wire->read_vm(&objects->reply.objects[i], &vm) == RC_OK) {
             mem_list_note(&app->mem, vm.name, vm.peer_address, vm.dc,
-                          vm.capacity);
+                          vm.capacity, objects->reply.objects[i].revision);
         }
     }
     mem_list_end(&app->mem, app_now_us());
@@ -182,6 +185,14 @@
     app_sync(app);
 }
 
+static void
+sto_note_written(struct sto_vms *vms)
+{
+    vms->is_written = true;
+    vms->renewals += 1;
+    vms->renewed_us = app_now_us();
+}
+
 /* What follows a reply to the step: another step at once, or STO_NONE. */
 static enum sto_step
 sto_vms_next(struct sto_vms *vms, const struct hcl_response *response)
@@ -192,13 +203,13 @@
     switch (vms->step) {
     case STO_CREATE:
         if (is_good) {
-            vms->is_written = true;
+            sto_note_written(vms);
             return STO_LIST;
         }
         return status == 409 ? STO_REPLACE : STO_NONE;
     case STO_REPLACE:
         if (is_good) {
-            vms->is_written = true;
+            sto_note_written(vms);
             return STO_LIST;
         }
         return status == 404 ? STO_CREATE : STO_NONE;
@@ -215,12 +226,56 @@
         return is_good && !vms->is_written ? STO_CREATE : STO_NONE;
     }
     case STO_DELETE:
+    case STO_DELETE_LOST:
     case STO_NONE:
         break;
     }
     return STO_NONE;
 }
 
+/* The first step of the next round: the own object is written again in time.
+ */
+static enum sto_step
+sto_next_step(const struct sto_vms *vms)
+{
+    if (!vms->is_written) {
+        return vms->step;
+    }
+    if (app_now_us() - vms->renewed_us >= MEM_RENEW_US) {
+        return STO_REPLACE;
+    }
+    return mem_lost(&vms->app->mem, app_now_us()) != NULL ? STO_DELETE_LOST
+                                                          : STO_LIST;
+}
+
+/* Path of the call of the step; free with g_free. */
+static char *
+sto_vms_path(const struct sto_vms *vms)
+{
+    const struct app *app = vms->app;
+    const struct mem_vm *lost = NULL;
+    switch (vms->step) {
+    case STO_REPLACE:
+    case STO_DELETE:
+        return app->wire->vms_path(app->settings.vm);
+    case STO_DELETE_LOST:
+        lost = mem_lost(&vms->app->mem, app_now_us());
+        if (lost == NULL) {
+            return NULL;
+        }
+        log_info("store", "deleting lost vm=%s silent_ms=%" G_GINT64_FORMAT,
+                 lost->name, (app_now_us() - lost->renewed_us) / 1000);
+        return app->wire->vms_lost_path(lost->name, lost->revision);
+    case STO_LIST:
+        return vms->is_known ? app->wire->vms_stale_path()
+                             : app->wire->vms_path(NULL);
+    case STO_CREATE:
+    case STO_NONE:
+        break;
+    }
+    return app->wire->vms_path(NULL);
+}
+
 static void sto_vms_send(struct sto_vms *vms);
 
 static void
@@ -236,6 +291,11 @@
         sto_vms_end(vms, INT32_MAX);
         return;
     }
+    if (vms->step == STO_DELETE_LOST) {
+        vms->step = STO_LIST;
+        sto_vms_end(vms, STO_RETRY_US);
+        return;
+    }
     enum sto_step next = sto_vms_next(vms, response);
     if (next != STO_NONE) {
         vms->step = next;
@@ -252,7 +312,7 @@
         log_warn("store", "call on own object refused step=%d status=%d",
                  vms->step, response->status);
     }
-    vms->step = vms->is_written ? STO_LIST : vms->step;
+    vms->step = sto_next_step(vms);
     vms->is_known = vms->is_known || is_done;
     int64_t again_us = mem_is_follower(&vms->app->mem, app_now_us())
                            ? STO_VMS_FOLLOWER_IVL_US
@@ -273,18 +333,22 @@
         [STO_REPLACE] = {"PUT", "vm_replace"},
         [STO_LIST] = {"GET", "vm_list"},
         [STO_DELETE] = {"DELETE", "vm_delete"},
+        [STO_DELETE_LOST] = {"DELETE", "vm_delete_lost"},
     };
-    bool is_one = vms->step == STO_REPLACE || vms->step == STO_DELETE;
     bool has_body = vms->step == STO_CREATE || vms->step == STO_REPLACE;
-    bool is_again = vms->step == STO_LIST && vms->is_known;
-    char *path = is_again
-                     ? app->wire->vms_stale_path()
-                     : app->wire->vms_path(is_one ? app->settings.vm : NULL);
+    char *path = sto_vms_path(vms);
+    if (path == NULL) {
+        /* The lost VM was heard of meanwhile. */
+        vms->step = STO_LIST;
+        sto_vms_end(vms, 0);
+        return;
+    }
     struct wir_vm vm = {
         .name = app->settings.vm,
         .peer_address = app->peer_address,
         .dc = app->settings.dc,
         .capacity = (uint32_t)app->settings.capacity,
+        .renewals = vms->renewals,
     };
     char *body = has_body ? app->wire->write_vm(&vm) : NULL;
     cnt_add(app->counters, "gateway_store_calls", calls[vms->step].label);
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -39,6 +39,12 @@
 /* A VM that is no hub sends heartbeats to this many hubs, those of its data
  * centre first. */
 #define MEM_PARENTS_MAX 3
+/* Each VM writes its object again at this interval. */
+#define MEM_RENEW_US (60LL * 1000 * 1000)
+/* A VM that did not for this long is lost, and its object is deleted. */
+#define MEM_LOST_US (180LL * 1000 * 1000)
+/* Without a list for this long, ages of objects say nothing. */
+#define MEM_LIST_GAP_US (30LL * 1000 * 1000)
 /* Hubs name this many live VMs in each answer to a heartbeat, others each
  * time, since the VM hears of few others. */
 #define MEM_VOUCHED_MAX 4
@@ -55,6 +61,8 @@
     char *peer_address;
     uint32_t capacity; /* thousandths of a core */
     bool is_listed;
+    int64_t revision;   /* of its object in the store */
+    int64_t renewed_us; /* when that revision was seen first */
     bool is_ready;
     int64_t heard_us;   /* 0: never */
     int64_t vouched_us; /* when a hub named it as alive */
@@ -70,6 +78,7 @@
     GPtrArray *ranked;     /* all, strong ones first; NULL when out of date */
     uint32_t strong_count; /* at the begin of `ranked` */
     bool has_list;         /* a list of the store was read */
+    int64_t listed_us;     /* when the last one was read */
     bool is_hub;           /* at the last heartbeat */
     guint vouched_next;    /* in `ranked`, to be named next */
 };
@@ -104,7 +113,7 @@
  * listed. */
 void mem_list_begin(struct mem *mem);
 void mem_list_note(struct mem *mem, const char *name, const char *peer_address,
-                   const char *dc, uint32_t capacity);
+                   const char *dc, uint32_t capacity, int64_t revision);
 void mem_list_end(struct mem *mem, int64_t now_us);
 
 /* A heartbeat arrived; `own` are the changes that this VM knows. */
@@ -114,6 +123,12 @@
 /* Time between two heartbeats to a VM. */
 int64_t mem_beat_ivl_us(const struct mem *mem);
 
+/*
+ * A VM that is lost, or NULL: neither heard of nor renewed. Only the first
+ * live VM in rank looks, so that one call deletes the object.
+ */
+const struct mem_vm *mem_lost(struct mem *mem, int64_t now_us);
+
 /* A hub named the VM as alive and ready. */
 void mem_on_vouched(struct mem *mem, const char *name,
                     const char *request_address, int64_t now_us);
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -27,6 +27,7 @@
     const char *peer_address;
     const char *dc;
     uint32_t capacity; /* thousandths of a core */
+    int64_t renewals;  /* how often the object was written again */
 };
 
 /* A decoded request of a caller; free with wir_request_clear(). */
@@ -51,8 +52,10 @@
 
     /* Paths and bodies of the VMs' own objects; free with g_free. */
     char *(*vms_path)(const char *name); /* NULL: the list of all */
-    char *(*vms_stale_path)(
-        void); /* the list, possibly seconds old, cheaper */
+    /* The list, possibly seconds old, at a lower price. */
+    char *(*vms_stale_path)(void);
+    /* To delete the object if it still has this revision. */
+    char *(*vms_lost_path)(const char *name, int64_t revision);
     char *(*write_vm)(const struct wir_vm *vm);
     /* Returns RC_OK or RC_INVALID. */
     int (*read_vm)(const struct syn_object *object, struct wir_vm *out);
--- a/include/platform/platform.h
+++ b/include/platform/platform.h
@@ -16,6 +16,7 @@
 int plt_read_backend(const struct syn_object *object, struct bke_entry *out);
 char *plt_vms_path(const char *name);
 char *plt_vms_stale_path(void);
+char *plt_vms_lost_path(const char *name, int64_t revision);
 char *plt_write_vm(const struct wir_vm *vm);
 int plt_read_vm(const struct syn_object *object, struct wir_vm *out);
 
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -22,6 +22,7 @@
 struct module_test {
     struct mem mem;
     struct syn syn;
+    int64_t revision; /* of the VMs' objects in the next lists */
     GString *out;
     struct syn_fetch fetches[MEM_KIND_COUNT];
     char *peers[MEM_KIND_COUNT]; /* copies of what the fetches name */
@@ -106,7 +107,8 @@
         bool has_capacity = place[0] != NULL && *place[0] != '\0';
         mem_list_note(&test->mem, pair[0], pair[0],
                       has_capacity && place[1] != NULL ? place[1] : "d1",
-                      has_capacity ? (uint32_t)atoi(place[0]) : CAPACITY);
+                      has_capacity ? (uint32_t)atoi(place[0]) : CAPACITY,
+                      test->revision);
         g_strfreev(place);
         g_strfreev(pair);
     }
@@ -151,6 +153,24 @@
     g_ptr_array_free(hubs, TRUE);
 }
 
+/* > renewed REVISION: the VMs write their objects again. */
+static void
+run_renewed(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    test->revision = scr_number(argc, argv, 1);
+}
+
+/* > lost NOW: the VM whose object is to be deleted. */
+static void
+run_lost(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    const struct mem_vm *vm =
+        mem_lost(&test->mem, scr_number(argc, argv, 1) * MS);
+    g_string_append(out, vm != NULL ? vm->name : "none");
+}
+
 /* > beats-to NOW: the VMs that get a heartbeat. */
 static void
 run_beats_to(void *ctx, int argc, char **argv, GString *out)
@@ -402,6 +422,7 @@
     {"stale", run_stale},       {"reset", run_reset},
     {"settings", run_settings}, {"news", run_news},
     {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
+    {"renewed", run_renewed},   {"lost", run_lost},
     {"vouched", run_vouched},   {"vouch", run_vouch},
 };
 
