sync: know within 1.5 s that the store answers again

Its calls took 2 s to fail, with a pause of 1 s, and lapsed entries were kept for 2.5 s from the first answer on.

Change: while the store fails, lists with a time-out of 1 s, pauses counted from the begin of the call; after an outage entries go 2 s after their end is known at the latest.

--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -87,7 +87,10 @@
     if (peer != NULL) {
         syn_end_list(feed);
     }
-    bool is_list = feed->must_list || peer != NULL;
+    /* While the store fails a list finds out whether it answers again: a watch
+     * is answered only when something changes. */
+    bool is_list = feed->must_list || peer != NULL || syn->fail_run > 0;
+    feed->is_watch = !is_list;
     if (is_list && feed->listed == NULL) {
         feed->listed =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -124,13 +127,13 @@
     if (feed->is_from_peer) {
         return SYN_TIMEOUT_US;
     }
-    if (!feed->must_list) {
+    if (feed->is_watch) {
         return SYN_WATCH_WAIT_MS * 1000LL + SYN_TIMEOUT_US;
     }
-    if (syn_has_all(syn)) {
-        return SYN_TIMEOUT_US;
+    if (syn->fail_run > 0) {
+        return SYN_RETRY_TIMEOUT_US;
     }
-    return syn->fail_run == 0 ? SYN_FIRST_TIMEOUT_US : SYN_SLOW_TIMEOUT_US;
+    return syn_has_all(syn) ? SYN_TIMEOUT_US : SYN_FIRST_TIMEOUT_US;
 }
 
 static void
@@ -145,7 +148,10 @@
     int64_t backoff_us = SYN_BACKOFF_MIN_US << MIN(syn->fail_run - 1, 8);
     int64_t max_us =
         syn_has_all(syn) ? SYN_BACKOFF_MAX_US : SYN_FIRST_BACKOFF_MAX_US;
-    int64_t due_us = now_us + MIN(backoff_us, max_us);
+    /* Counted from the call, so that a silent store is asked as often as one
+     * that refuses. */
+    int64_t due_us = MAX(syn->feeds[kind].sent_us + MIN(backoff_us, max_us),
+                         now_us + SYN_BACKOFF_MIN_US);
     /* One call finds out whether the store answers again. */
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
@@ -182,7 +188,9 @@
 {
     int64_t remove_us = now_us + BKE_LAPSE_HOLD_US;
     if (syn->recovered_us > 0) {
-        remove_us = MAX(remove_us, syn->recovered_us + BKE_OUTAGE_HOLD_US);
+        int64_t outage_us = MIN(syn->recovered_us + BKE_OUTAGE_HOLD_US,
+                                now_us + BKE_OUTAGE_HOLD_MAX_US);
+        remove_us = MAX(remove_us, outage_us);
     }
     return remove_us;
 }
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -88,6 +88,8 @@
 #define BKE_LAPSE_HOLD_US (800 * 1000)
 /* The same after an outage of the store, in which entries lapse. */
 #define BKE_OUTAGE_HOLD_US (2500 * 1000)
+/* But not for longer after its end is known: it may have left in order. */
+#define BKE_OUTAGE_HOLD_MAX_US (2000 * 1000)
 /* An idle link is not reused after this time. */
 #define BKE_IDLE_MAX_US (20LL * 1000 * 1000)
 /* While nine tenths of the links are open, one that was idle for this long is
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -72,6 +72,7 @@
     bool has_list;     /* a whole list was read */
     bool is_in_flight; /* a fetch is not answered */
     bool is_from_peer; /* and goes to a peer */
+    bool is_watch;     /* or is a watch */
     uint32_t serial;   /* of that fetch */
     bool must_list;
     int64_t revision;    /* to watch from */
@@ -98,10 +99,12 @@
 #define SYN_WATCH_WAIT_MS 25000
 /* Without a reply for this long beyond its wait a fetch has failed. */
 #define SYN_TIMEOUT_US (2000 * 1000)
-/* The same while nothing is known and no request can be served: first, and
- * after a failure, since the store may be slow. */
+/* The same while nothing is known and no request can be served. */
 #define SYN_FIRST_TIMEOUT_US (600 * 1000)
-#define SYN_SLOW_TIMEOUT_US (1000 * 1000)
+/* The same after a failure. With the pause after it a VM knows within 1.5 s
+ * that the store is back, and what lapsed is dropped before 4 s have passed.
+ */
+#define SYN_RETRY_TIMEOUT_US (1000 * 1000)
 #define SYN_BACKOFF_MIN_US (200 * 1000)
 #define SYN_BACKOFF_MAX_US (1000 * 1000)
 #define SYN_FIRST_BACKOFF_MAX_US (250 * 1000)
