gateway: remove state that nothing reads, one call of a feed to the store

Cause: a read of the whole change found fields that are written only (use_count of a link, answered_us of a backend server, is_hedge of an attempt), arguments that are not used, a reference that guards nothing, and the feed's call to the store in two places, of which one counted calls that were not sent.

Change: they are removed; sto_feed_send() serves both places and counts what was sent. No decision changes.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -70,8 +70,7 @@
 }
 
 static void
-app_apply_config(struct app *app, const struct syn_object *object,
-                 int64_t now_us)
+app_apply_config(struct app *app, const struct syn_object *object)
 {
     struct gcf *config = NULL;
     if (object->is_deleted || strcmp(object->name, "main") != 0 ||
@@ -111,7 +110,7 @@
     struct app *app = ctx;
     switch (kind) {
     case MEM_CONFIG:
-        app_apply_config(app, object, now_us);
+        app_apply_config(app, object);
         break;
     case MEM_BACKENDS:
         app_apply_backend(app, object, remove_us, now_us);
--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -255,7 +255,6 @@
     link->state = BKE_BUSY;
     link->since_us = now_us;
     link->attempt = attempt;
-    link->use_count += 1;
 }
 
 void
@@ -320,12 +319,11 @@
 }
 
 void
-bke_on_answer(struct bke *backend, int64_t latency_us, int64_t now_us)
+bke_on_answer(struct bke *backend, int64_t latency_us)
 {
     backend->latency_us = bke_average_us(backend->latency_us, latency_us);
     backend->fail_run = 0;
     backend->avoid_us = 0;
-    backend->answered_us = now_us;
     bke_note_result(backend, false);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -360,7 +360,7 @@
         backend->warm_us = now_us + answer->warmup_us;
     }
     if (answer->rc == RC_OK) {
-        bke_on_answer(backend, now_us - link->since_us, now_us);
+        bke_on_answer(backend, now_us - link->since_us);
     }
 }
 
@@ -403,14 +403,11 @@
 gtw_on_lost(struct gtw *gtw, struct bke_link *link, int rc, int64_t now_us)
 {
     struct att *att = link->attempt;
-    struct bke *backend = bke_ref(link->backend);
     bke_drop_link(&gtw->backends, link);
     if (att == NULL) {
-        bke_unref(backend);
         return;
     }
     cnt_add(gtw->counters, "gateway_links_lost", rc_name(rc));
-    bke_unref(backend);
     struct ask *ask = att->part->ask;
     ask_hold(ask);
     prt_on_failure(att, rc, now_us);
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -154,8 +154,7 @@
 }
 
 static bool
-prt_attempt(struct prt *part, struct bke *backend, bool is_hedge,
-            int64_t now_us)
+prt_attempt(struct prt *part, struct bke *backend, int64_t now_us)
 {
     struct gtw *gtw = part->ask->gtw;
     struct att *att = prt_attempt_of(part, part->attempt_count);
@@ -163,7 +162,6 @@
         .part = part,
         .backend = bke_ref(backend),
         .started_us = now_us,
-        .is_hedge = is_hedge,
     };
     part->attempt_count += 1;
     att->link = prt_idle_link(part, backend, now_us);
@@ -203,7 +201,7 @@
             part->rc = part->attempt_count > 0 ? part->rc : rc;
             break;
         }
-        if (prt_attempt(part, backend, false, now_us)) {
+        if (prt_attempt(part, backend, now_us)) {
             part->retry_us = 0;
             return;
         }
@@ -250,7 +248,7 @@
              part->ask->request.id, part->service->name, first->backend->id,
              now_us - first->started_us, backend->id, backend->latency_us,
              (uint32_t)(budget->millitokens / 1000));
-    if (prt_attempt(part, backend, true, now_us)) {
+    if (prt_attempt(part, backend, now_us)) {
         part->ask->hedge_count += 1;
         cnt_add(gtw->counters, "gateway_hedges", NULL);
     }
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -99,16 +99,18 @@
     wir_objects_clear(&objects);
 }
 
-static void
+/* Sends the feed's call on its open connection; the result is hcl_request()'s.
+ */
+static int
 sto_feed_send(struct sto_feed *feed)
 {
-    cnt_add(feed->app->counters, "gateway_store_calls",
-            feed->fetch.is_watch ? "watch" : "list");
     int rc = hcl_request(feed->conn, "GET", feed->path, NULL, NULL, 0,
                          sto_on_reply, feed);
-    if (rc != RC_OK) {
-        sto_feed_fail(feed, RC_STORE_DOWN);
+    if (rc == RC_OK) {
+        cnt_add(feed->app->counters, "gateway_store_calls",
+                feed->fetch.is_watch ? "watch" : "list");
     }
+    return rc;
 }
 
 static void
@@ -120,7 +122,9 @@
         return;
     }
     feed->is_up = true;
-    sto_feed_send(feed);
+    if (sto_feed_send(feed) != RC_OK) {
+        sto_feed_fail(feed, RC_STORE_DOWN);
+    }
 }
 
 static void
@@ -140,14 +144,8 @@
     feed->path = app->wire->fetch_path(fetch);
     feed->fetch = *fetch;
     feed->fetch.after = NULL;
-    if (feed->is_up) {
-        int rc = hcl_request(feed->conn, "GET", feed->path, NULL, NULL, 0,
-                             sto_on_reply, feed);
-        if (rc == RC_OK) {
-            cnt_add(app->counters, "gateway_store_calls",
-                    fetch->is_watch ? "watch" : "list");
-            return;
-        }
+    if (feed->is_up && sto_feed_send(feed) == RC_OK) {
+        return;
     }
     /* An earlier call that was not answered still has the connection. */
     sto_close(&feed->conn);
--- a/include/gateway/ask.h
+++ b/include/gateway/ask.h
@@ -15,7 +15,6 @@
     struct bke_link *link; /* NULL once settled */
     int64_t started_us;
     bool is_sent;
-    bool is_hedge;
     bool is_overdue; /* counted as a failure of the backend server */
     bool has_not_run;
 };
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -33,7 +33,6 @@
     int64_t expires_us; /* an idle link is not used from then on */
     void *attempt;      /* of the user, NULL while idle or abandoned */
     int64_t abandon_us; /* an abandoned link is closed then */
-    uint32_t use_count; /* requests it has carried */
     void *io;           /* of the I/O side */
 };
 
@@ -61,7 +60,6 @@
     uint32_t fail_run;      /* failures in a row */
     int64_t chosen_us;      /* when it last got a request */
     int64_t avoid_us;       /* not chosen before then if another one can be */
-    int64_t answered_us;    /* last answer */
     int64_t wrong_id_us;    /* when its address answered for another one */
     struct bke_cold cold;
 };
@@ -154,7 +152,7 @@
 void bke_drop_link(struct bke_set *set, struct bke_link *link);
 
 /* An answer of the backend server, with how long it took. */
-void bke_on_answer(struct bke *backend, int64_t latency_us, int64_t now_us);
+void bke_on_answer(struct bke *backend, int64_t latency_us);
 
 /* A request failed or was not answered in time. */
 void bke_on_failure(struct bke *backend, int64_t now_us);
