sync: log and count the age of news and calls without an answer

Logs and metrics now show, for each kind, for how long the store may have changed without the VM's knowledge, which call is waited for and since when, and each call that is given up. No decision is changed.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -210,13 +210,14 @@
 
 /* One line with what happened since the start. */
 static void
-app_log_totals(struct app *app)
+app_log_totals(struct app *app, int64_t now_us)
 {
     log_info("app",
              "totals answers=%" PRIu64 " p50_us=%" PRId64 " p99_us=%" PRId64
              " sends_local=%" PRIu64 " sends_remote=%" PRIu64
              " hedges=%" PRIu64 " hedges_refused=%" PRIu64 " connects=%" PRIu64
-             " open_requests=%u vms=%u",
+             " open_requests=%u vms=%u config_age_ms=%" PRId64
+             " backends_age_ms=%" PRId64 " drained_dcs_age_ms=%" PRId64,
              app->answer_us.total, hst_value_at(&app->answer_us, 500),
              hst_value_at(&app->answer_us, 990),
              *cnt_get(app->counters, "gateway_sends", "local"),
@@ -224,7 +225,10 @@
              *cnt_get(app->counters, "gateway_hedges", NULL),
              *cnt_get(app->counters, "gateway_hedges_refused", "budget"),
              *cnt_get(app->counters, "gateway_connects", NULL),
-             app->gtw.asks.length, app->gtw.vms);
+             app->gtw.asks.length, app->gtw.vms,
+             syn_age_us(&app->syn, MEM_CONFIG, now_us) / 1000,
+             syn_age_us(&app->syn, MEM_BACKENDS, now_us) / 1000,
+             syn_age_us(&app->syn, MEM_DRAINED_DCS, now_us) / 1000);
 }
 
 static void
@@ -244,7 +248,7 @@
     }
     if (now_us - app->totals_us >= APP_TOTALS_IVL_US) {
         app->totals_us = now_us;
-        app_log_totals(app);
+        app_log_totals(app, now_us);
     }
 }
 
@@ -284,6 +288,7 @@
     app->gtw.is_config_stale =
         syn_is_stale(&app->syn, app->settings.config_apply_ms * 1000, now_us);
     syn_tick(&app->syn, &app->mem, now_us);
+    app->gtw.news_us = now_us - syn_age_us(&app->syn, MEM_BACKENDS, now_us);
     bke_tick(&app->gtw.backends, now_us);
     pio_tick(app->peers, now_us);
     sto_tick(app->store, now_us);
--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -89,12 +89,13 @@
                "ended id=%s rc=%s route=%s config=%" G_GINT64_FORMAT
                " took_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                " parts=%u done=%u failed=%u sends=%u hedges=%u retries=%u"
-               " vms=%u",
+               " vms=%u news_age_ms=%" G_GINT64_FORMAT,
                ask->request.id, rc_name(answer->rc), ask->route->name,
                ask->config->version, took_us / 1000,
                (ask->deadline_us - now_us) / 1000, ask->part_count,
                ask->done_count, ask->failed_count, ask->send_count,
-               ask->hedge_count, ask->retry_count, ask->gtw->vms);
+               ask->hedge_count, ask->retry_count, ask->gtw->vms,
+               (now_us - ask->gtw->news_us) / 1000);
     for (uint32_t i = 0; i < ask->part_count; i++) {
         if (ask->parts[i].state != PRT_DONE) {
             ask_log_missing(&ask->parts[i], now_us);
--- a/gateway/directory_io.c
+++ b/gateway/directory_io.c
@@ -67,11 +67,27 @@
                            hist->total);
 }
 
+/* How old the news of each kind are, and the calls for them that failed. */
+static void
+dio_note_news(struct app *app)
+{
+    int64_t now_us = app_now_us();
+    for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
+        *cnt_get(app->counters, "gateway_news_age_ms", syn_kind_name(kind)) =
+            (uint64_t)syn_age_us(&app->syn, kind, now_us) / 1000;
+    }
+    for (int call = 0; call < SYN_CALL_COUNT; call++) {
+        *cnt_get(app->counters, "gateway_calls_unanswered",
+                 syn_call_name(call)) = app->syn.unanswered[call];
+    }
+}
+
 void
 dio_on_metrics(struct hsv_request *http, void *ctx)
 {
     struct app *app = ctx;
     GString *out = g_string_new(NULL);
+    dio_note_news(app);
     cnt_render(app->counters, out);
     dio_render_latency(&app->answer_us, out);
     hsv_respond(http, 200, "text/plain; version=0.0.4", out->str, out->len);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -10,6 +10,12 @@
     [MEM_DRAINED_DCS] = "drained_dcs",
 };
 
+static const char *const syn_call_names[SYN_CALL_COUNT] = {
+    [SYN_LIST] = "list",
+    [SYN_WATCH] = "watch",
+    [SYN_PEER] = "peer",
+};
+
 static void
 syn_known_free(gpointer data)
 {
@@ -151,6 +157,15 @@
     return syn_has_all(syn) ? SYN_TIMEOUT_US : SYN_FIRST_TIMEOUT_US;
 }
 
+static enum syn_call
+syn_call_of(const struct syn_feed *feed)
+{
+    if (feed->is_from_peer) {
+        return SYN_PEER;
+    }
+    return feed->is_watch ? SYN_WATCH : SYN_LIST;
+}
+
 static void
 syn_note_failure(struct syn *syn, enum mem_kind kind, int rc, int64_t now_us)
 {
@@ -334,6 +349,7 @@
     if (reply->rc == RC_OK) {
         if (fetch->peer == NULL) {
             syn_note_success(syn, now_us);
+            feed->answered_us = now_us;
         }
         syn_on_usable(syn, fetch, reply, now_us);
         return;
@@ -361,6 +377,14 @@
         now_us - feed->sent_us < syn_timeout_us(syn, feed)) {
         return;
     }
+    enum syn_call call = syn_call_of(feed);
+    syn->unanswered[call] += 1;
+    log_warn("sync",
+             "no answer kind=%s call=%s waited_ms=%" G_GINT64_FORMAT
+             " age_ms=%" G_GINT64_FORMAT,
+             syn_names[kind], syn_call_names[call],
+             (now_us - feed->sent_us) / 1000,
+             syn_age_us(syn, kind, now_us) / 1000);
     if (!feed->is_from_peer && feed->sent_us < syn->answered_us) {
         /* The store has answered since; only this call was lost. */
         feed->is_in_flight = false;
@@ -377,6 +401,30 @@
                  now_us);
 }
 
+/* A line when the news of a kind have become old, with what is waited for. */
+static void
+syn_note_age(struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    int64_t age_us = syn_age_us(syn, kind, now_us);
+    if (age_us < SYN_OLD_US) {
+        feed->noted_us = 0;
+        return;
+    }
+    if (age_us < feed->noted_us * 2) {
+        return;
+    }
+    feed->noted_us = age_us;
+    log_warn("sync",
+             "news are old kind=%s age_ms=%" G_GINT64_FORMAT
+             " change=%" G_GINT64_FORMAT " call=%s waited_ms=%" G_GINT64_FORMAT
+             " failures=%u",
+             syn_names[kind], age_us / 1000, feed->change,
+             feed->is_in_flight ? syn_call_names[syn_call_of(feed)] : "none",
+             feed->is_in_flight ? (now_us - feed->sent_us) / 1000 : 0,
+             syn->fail_run);
+}
+
 /* Whether the store may still answer the first list of the kind in time. */
 static bool
 syn_is_first_pending(const struct syn_feed *feed, int64_t now_us)
@@ -425,6 +473,7 @@
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
         syn_end_overdue(syn, i, now_us);
+        syn_note_age(syn, i, now_us);
         if (syn_ask_peer(syn, i, mem, is_follower, now_us) || is_early ||
             is_follower) {
             continue;
@@ -466,6 +515,24 @@
            (syn->failing_us > 0 && now_us - syn->failing_us >= age_us);
 }
 
+int64_t
+syn_age_us(const struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    return now_us - MAX(syn->feeds[kind].answered_us, syn->started_us);
+}
+
+const char *
+syn_kind_name(enum mem_kind kind)
+{
+    return syn_names[kind];
+}
+
+const char *
+syn_call_name(enum syn_call call)
+{
+    return syn_call_names[call];
+}
+
 const struct syn_feed *
 syn_feed_of(const struct syn *syn, enum mem_kind kind)
 {
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -135,6 +135,7 @@
     struct adm admit;
     uint64_t ask_serial;
     bool is_config_stale; /* unknown routes are not refused for good */
+    int64_t news_us; /* up to when the backend servers are known, for logs */
 };
 
 /* When a caller should return that came before the first configuration: an
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -82,6 +82,16 @@
     int64_t due_us;      /* when to fetch next */
     int64_t peer_due_us; /* when a peer may be asked next */
     int64_t sent_us;
+    int64_t answered_us; /* when the store last answered a call of the kind */
+    int64_t noted_us;    /* age at which the news were last logged as old */
+};
+
+/* Calls that were given up without an answer. */
+enum syn_call {
+    SYN_LIST,
+    SYN_WATCH,
+    SYN_PEER, /* a question to a peer */
+    SYN_CALL_COUNT,
 };
 
 struct syn {
@@ -93,6 +103,7 @@
     int64_t answered_us;  /* its last answer */
     int64_t recovered_us; /* when it answered again after an outage */
     int64_t started_us;   /* first call of syn_tick() */
+    uint64_t unanswered[SYN_CALL_COUNT]; /* calls that were given up */
 };
 
 /* Watches are asked again at most this often, so that a burst of changes
@@ -110,6 +121,8 @@
 #define SYN_BACKOFF_MIN_US (200 * 1000)
 #define SYN_BACKOFF_MAX_US (1000 * 1000)
 #define SYN_FIRST_BACKOFF_MAX_US (250 * 1000)
+/* News of this age are logged as old, and again each time it has doubled. */
+#define SYN_OLD_US (4000 * 1000)
 /* Failing for this long is an outage, in which entries lapse. */
 #define SYN_OUTAGE_US (500 * 1000)
 
@@ -149,6 +162,13 @@
 /* Whether the store has not answered for `age_us`. */
 bool syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us);
 
+/* For how long the store may have changed without this VM's knowledge. */
+int64_t syn_age_us(const struct syn *syn, enum mem_kind kind, int64_t now_us);
+
+/* Names for logs and metrics. */
+const char *syn_kind_name(enum mem_kind kind);
+const char *syn_call_name(enum syn_call call);
+
 /* What is known of a kind, for a peer. */
 const struct syn_feed *syn_feed_of(const struct syn *syn, enum mem_kind kind);
 
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -429,6 +429,20 @@
     g_string_append(out, is_stale ? "stale" : "fresh");
 }
 
+/* > age NOW KIND: how old the news are, and the calls that were given up. */
+static void
+run_age(void *ctx, int argc, char **argv, GString *out)
+{
+    const struct module_test *test = ctx;
+    int64_t age_us = syn_age_us(&test->syn, kind_of(argv[2]),
+                                scr_number(argc, argv, 1) * MS);
+    g_string_append_printf(out, "%" PRId64, age_us / MS);
+    for (int call = 0; call < SYN_CALL_COUNT; call++) {
+        g_string_append_printf(out, " %s=%" PRIu64, syn_call_name(call),
+                               test->syn.unanswered[call]);
+    }
+}
+
 static void
 module_open(struct module_test *test, uint32_t capacity)
 {
@@ -493,27 +507,17 @@
 }
 
 static const struct scr_command commands[] = {
-    {"roster", run_roster},
-    {"judge", run_judge},
-    {"covered", run_covered},
-    {"finish", run_finish},
-    {"share", run_share},
-    {"records", run_records},
-    {"mem-list", run_mem_list},
-    {"beat", run_beat},
-    {"mem", run_mem},
-    {"tick", run_tick},
-    {"reply", run_reply},
-    {"stale", run_stale},
-    {"reset", run_reset},
-    {"settings", run_settings},
-    {"news", run_news},
-    {"beats-to", run_beats_to},
-    {"must-reply", run_must_reply},
-    {"renewed", run_renewed},
-    {"lost", run_lost},
-    {"vouched", run_vouched},
-    {"vouch", run_vouch},
+    {"roster", run_roster},     {"judge", run_judge},
+    {"covered", run_covered},   {"finish", run_finish},
+    {"share", run_share},       {"records", run_records},
+    {"mem-list", run_mem_list}, {"beat", run_beat},
+    {"mem", run_mem},           {"tick", run_tick},
+    {"reply", run_reply},       {"stale", run_stale},
+    {"age", run_age},           {"reset", run_reset},
+    {"settings", run_settings}, {"news", run_news},
+    {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
+    {"renewed", run_renewed},   {"lost", run_lost},
+    {"vouched", run_vouched},   {"vouch", run_vouch},
 };
 
 static void
