sync: bound the age of news, whatever the reason for a silence

Cause: a watch that nobody answers looked like one for which nothing has changed. After a silence of the store the watches of all VMs were dead, each waited for the rest of 25 + 2 s, and peers knew no more.

Change: each VM knows for each kind up to when it has all changes, by the store's answers and by heartbeats, which now carry ages. The first live VM in rank keeps its watches at 1 s; the others keep 25 s and ask the store themselves when their news are 2 s old (3.5 s for VMs that leave it to hubs). Ages are taken over only from VMs before the own one in rank, so that no two VMs vouch for each other. Watches that wait when the store answers again are repeated; a peer has 1 s to answer and is not asked when the news are too old; whether an unknown route may get 404 goes by the age of the configuration. While one kind asks a store that fails, the others wait for the end of its call, as was meant.

--- a/gateway/beat.c
+++ b/gateway/beat.c
@@ -17,7 +17,9 @@
     BEA_FIELD_IS_REPLY,
     BEA_FIELD_CHANGES, /* one for each kind */
     BEA_FIELD_VOUCHED = BEA_FIELD_CHANGES + MEM_KIND_COUNT,
+    BEA_FIELD_AGES, /* one for each kind; left out by older senders */
     BEA_FIELD_COUNT,
+    BEA_FIELD_COUNT_MIN = BEA_FIELD_AGES,
 };
 
 static void
@@ -52,6 +54,10 @@
         bea_put_text(&packer, beat->vouched[i].name);
         bea_put_text(&packer, beat->vouched[i].request_address);
     }
+    msgpack_pack_array(&packer, MEM_KIND_COUNT);
+    for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
+        msgpack_pack_int64(&packer, in->ages_us[kind]);
+    }
 }
 
 /* The text with a terminating zero in the zone, or NULL. */
@@ -121,6 +127,25 @@
     return true;
 }
 
+/* What is missing or cannot be read is not told. */
+static void
+bea_read_ages(const msgpack_object *root, struct mem_beat *beat)
+{
+    const msgpack_object *list = root->via.array.size > BEA_FIELD_AGES
+                                     ? &root->via.array.ptr[BEA_FIELD_AGES]
+                                     : NULL;
+    uint32_t count = list != NULL && list->type == MSGPACK_OBJECT_ARRAY
+                         ? list->via.array.size
+                         : 0;
+    for (uint32_t kind = 0; kind < MEM_KIND_COUNT; kind++) {
+        const msgpack_object *field =
+            kind < count ? &list->via.array.ptr[kind] : NULL;
+        bool is_told = field != NULL && bea_is_number(field) &&
+                       field->via.u64 <= INT64_MAX;
+        beat->ages_us[kind] = is_told ? field->via.i64 : MEM_AGE_NONE;
+    }
+}
+
 static bool
 bea_read_numbers(const msgpack_object *fields, struct mem_beat *beat)
 {
@@ -143,7 +168,7 @@
 bea_read(const msgpack_object *root, struct bea *out)
 {
     if (root->type != MSGPACK_OBJECT_ARRAY ||
-        root->via.array.size < BEA_FIELD_COUNT) {
+        root->via.array.size < BEA_FIELD_COUNT_MIN) {
         return false;
     }
     const msgpack_object *fields = root->via.array.ptr;
@@ -153,6 +178,7 @@
     beat->request_address =
         bea_text(&fields[BEA_FIELD_REQUEST_ADDRESS], &out->zone);
     beat->peer_address = bea_text(&fields[BEA_FIELD_PEER_ADDRESS], &out->zone);
+    bea_read_ages(root, beat);
     return bea_is_number(&fields[BEA_FIELD_TYPE]) &&
            fields[BEA_FIELD_TYPE].via.u64 == BEA_TYPE && beat->name != NULL &&
            beat->dc != NULL && beat->request_address != NULL &&
--- a/gateway/directory_io.c
+++ b/gateway/directory_io.c
@@ -80,6 +80,7 @@
         *cnt_get(app->counters, "gateway_calls_unanswered",
                  syn_call_name(call)) = app->syn.unanswered[call];
     }
+    *cnt_get(app->counters, "gateway_news_checks", NULL) = app->syn.checks;
 }
 
 void
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -176,12 +176,13 @@
 }
 
 static void
-mem_note_changes(struct mem_vm *vm, const int64_t *changes, const int64_t *own,
-                 int64_t now_us)
+mem_note_changes(struct mem_vm *vm, const struct mem_beat *beat,
+                 const int64_t *own, int64_t now_us)
 {
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        vm->changes[i] = changes[i];
-        if (changes[i] <= own[i]) {
+        vm->changes[i] = beat->changes[i];
+        vm->checked_us[i] = MAX(now_us - MIN(beat->ages_us[i], now_us), 0);
+        if (beat->changes[i] <= own[i]) {
             vm->ahead_us[i] = 0;
         }
         else if (vm->ahead_us[i] == 0) {
@@ -213,7 +214,7 @@
     mem_replace(&vm->dc, beat->dc);
     mem_replace(&vm->request_address, beat->request_address);
     mem_replace(&vm->peer_address, beat->peer_address);
-    mem_note_changes(vm, beat->changes, own, now_us);
+    mem_note_changes(vm, beat, own, now_us);
 }
 
 bool
@@ -456,6 +457,23 @@
     return best;
 }
 
+int64_t
+mem_checked_us(struct mem *mem, enum mem_kind kind, int64_t own)
+{
+    int64_t checked_us = 0;
+    mem_rank(mem);
+    for (guint i = 0; i < mem->ranked->len; i++) {
+        const struct mem_vm *vm = g_ptr_array_index(mem->ranked, i);
+        if (vm == mem->self) {
+            break;
+        }
+        if (vm->changes[kind] <= own) {
+            checked_us = MAX(checked_us, vm->checked_us[kind]);
+        }
+    }
+    return checked_us;
+}
+
 static bool
 mem_is_usable(const struct mem *mem, const struct mem_vm *vm, int64_t now_us)
 {
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -70,6 +70,7 @@
             },
     };
     syn_changes(&app->syn, beat.beat.changes);
+    syn_ages(&app->syn, app_now_us(), beat.beat.ages_us);
     GPtrArray *vms = g_ptr_array_new();
     if (is_reply) {
         mem_vouch(&app->mem, app_now_us(), vms);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -97,6 +97,26 @@
     }
 }
 
+static bool
+syn_is_old(const struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    int64_t max_us =
+        syn->is_follower ? SYN_FOLLOWER_AGE_MAX_US : SYN_AGE_MAX_US;
+    return syn_age_us(syn, kind, now_us) >= max_us;
+}
+
+/* How long the store may wait for a change before it answers a watch: not at
+ * all when the answer is to show that nothing was missed. */
+static int64_t
+syn_wait_ms(const struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    if (syn_is_old(syn, kind, now_us)) {
+        return 0;
+    }
+    return syn->feeds[kind].is_covered ? SYN_WATCH_WAIT_MS
+                                       : SYN_WATCH_SHORT_MS;
+}
+
 static void
 syn_fetch(struct syn *syn, enum mem_kind kind, const char *peer,
           int64_t now_us)
@@ -116,11 +136,13 @@
     if (is_list) {
         syn_begin_list(feed);
     }
+    int64_t wait_ms = is_list ? 0 : syn_wait_ms(syn, kind, now_us);
+    feed->wait_us = wait_ms * 1000;
     struct syn_fetch fetch = {
         .kind = kind,
         .is_watch = !is_list,
         .revision = feed->revision,
-        .wait_ms = is_list ? 0 : SYN_WATCH_WAIT_MS,
+        .wait_ms = wait_ms,
         .after = feed->after,
         .peer = peer,
         .since = feed->has_list ? feed->change : 0,
@@ -146,10 +168,10 @@
 syn_timeout_us(const struct syn *syn, const struct syn_feed *feed)
 {
     if (feed->is_from_peer) {
-        return SYN_TIMEOUT_US;
+        return SYN_PEER_TIMEOUT_US;
     }
     if (feed->is_watch) {
-        return SYN_WATCH_WAIT_MS * 1000LL + SYN_TIMEOUT_US;
+        return feed->wait_us + SYN_WATCH_TIMEOUT_US;
     }
     if (syn->fail_run > 0) {
         return SYN_RETRY_TIMEOUT_US;
@@ -166,6 +188,15 @@
     return feed->is_watch ? SYN_WATCH : SYN_LIST;
 }
 
+static int64_t
+syn_backoff_max_us(const struct syn *syn)
+{
+    if (syn->is_follower) {
+        return SYN_FOLLOWER_BACKOFF_MAX_US;
+    }
+    return syn_has_all(syn) ? SYN_BACKOFF_MAX_US : SYN_FIRST_BACKOFF_MAX_US;
+}
+
 static void
 syn_note_failure(struct syn *syn, enum mem_kind kind, int rc, int64_t now_us)
 {
@@ -176,8 +207,7 @@
     }
     syn->fail_run += 1;
     int64_t backoff_us = SYN_BACKOFF_MIN_US << MIN(syn->fail_run - 1, 8);
-    int64_t max_us =
-        syn_has_all(syn) ? SYN_BACKOFF_MAX_US : SYN_FIRST_BACKOFF_MAX_US;
+    int64_t max_us = syn_backoff_max_us(syn);
     /* Counted from the call, so that a silent store is asked as often as one
      * that refuses. */
     int64_t due_us = MAX(syn->feeds[kind].sent_us + MIN(backoff_us, max_us),
@@ -187,7 +217,7 @@
         struct syn_feed *feed = &syn->feeds[i];
         feed->due_us = i == (int)kind
                            ? due_us
-                           : MAX(feed->due_us, due_us + SYN_BACKOFF_MAX_US);
+                           : MAX(feed->due_us, due_us + SYN_OTHERS_WAIT_US);
     }
 }
 
@@ -208,7 +238,10 @@
     syn->fail_run = 0;
     syn->failing_us = 0;
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        syn->feeds[i].due_us = now_us;
+        struct syn_feed *feed = &syn->feeds[i];
+        /* What waits since before the failure may never be answered. */
+        feed->is_in_flight = feed->is_in_flight && !feed->is_watch;
+        feed->due_us = now_us;
     }
 }
 
@@ -349,7 +382,7 @@
     if (reply->rc == RC_OK) {
         if (fetch->peer == NULL) {
             syn_note_success(syn, now_us);
-            feed->answered_us = now_us;
+            feed->checked_us = now_us;
         }
         syn_on_usable(syn, fetch, reply, now_us);
         return;
@@ -385,10 +418,12 @@
              syn_names[kind], syn_call_names[call],
              (now_us - feed->sent_us) / 1000,
              syn_age_us(syn, kind, now_us) / 1000);
-    if (!feed->is_from_peer && feed->sent_us < syn->answered_us) {
-        /* The store has answered since; only this call was lost. */
+    bool is_lost_alone =
+        !feed->is_from_peer && feed->sent_us < syn->answered_us;
+    if (is_lost_alone || (feed->is_watch && syn->fail_run > 0)) {
+        /* The store has answered since, or another kind asks it. */
         feed->is_in_flight = false;
-        feed->due_us = now_us;
+        feed->due_us = is_lost_alone ? now_us : feed->due_us;
         syn_end_list(feed);
         return;
     }
@@ -425,6 +460,39 @@
              syn->fail_run);
 }
 
+/* Takes over what heartbeats tell of the news' age. */
+static void
+syn_hear(struct syn *syn, enum mem_kind kind, struct mem *mem, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    int64_t same_us = mem_checked_us(mem, kind, feed->change);
+    if (feed->has_list) {
+        feed->checked_us = MAX(feed->checked_us, same_us);
+    }
+    int64_t any_us = mem_checked_us(mem, kind, INT64_MAX);
+    feed->is_covered = any_us > 0 && now_us - any_us < SYN_AGE_MAX_US;
+}
+
+/* Gives up a watch that may never be answered, so that the store is asked. */
+static void
+syn_end_old(struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    struct syn_feed *feed = &syn->feeds[kind];
+    bool is_waiting = feed->is_in_flight && feed->is_watch &&
+                      !feed->is_from_peer && feed->wait_us > SYN_AGE_MAX_US;
+    if (!is_waiting || syn->fail_run > 0 || !syn_is_old(syn, kind, now_us)) {
+        return;
+    }
+    syn->checks += 1;
+    log_info("sync",
+             "checking news kind=%s age_ms=%" G_GINT64_FORMAT
+             " change=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
+             syn_names[kind], syn_age_us(syn, kind, now_us) / 1000,
+             feed->change, (now_us - feed->sent_us) / 1000);
+    feed->is_in_flight = false;
+    feed->due_us = now_us;
+}
+
 /* Whether the store may still answer the first list of the kind in time. */
 static bool
 syn_is_first_pending(const struct syn_feed *feed, int64_t now_us)
@@ -433,26 +501,36 @@
            now_us - feed->sent_us < SYN_FIRST_PATIENCE_US;
 }
 
+/* Whether the store itself has to say what is new: peers may have missed it as
+ * well. */
+static bool
+syn_must_check(const struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    return syn->feeds[kind].has_list && syn->fail_run == 0 &&
+           syn_is_old(syn, kind, now_us);
+}
+
 /* Asks a peer that has newer news: at once when it is left to it to follow the
  * store or when nothing is known, else when it has had them for a while. */
 static bool
 syn_ask_peer(struct syn *syn, enum mem_kind kind, const struct mem *mem,
-             bool is_follower, int64_t now_us)
+             int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
     if (now_us < feed->peer_due_us ||
         (feed->is_in_flight && feed->is_from_peer) ||
-        (!is_follower && syn_is_first_pending(feed, now_us))) {
+        (!syn->is_follower && syn_is_first_pending(feed, now_us)) ||
+        syn_must_check(syn, kind, now_us)) {
         return false;
     }
-    int64_t ahead_us = is_follower || !feed->has_list ? 0 : MEM_AHEAD_US;
+    int64_t ahead_us = syn->is_follower || !feed->has_list ? 0 : MEM_AHEAD_US;
     const struct mem_vm *vm =
         mem_ahead(mem, kind, feed->change, ahead_us, now_us);
     if (vm == NULL || vm->peer_address == NULL) {
         return false;
     }
     feed->peer_due_us =
-        now_us + (is_follower ? SYN_FOLLOW_IVL_US : SYN_BACKOFF_MAX_US);
+        now_us + (syn->is_follower ? SYN_FOLLOW_IVL_US : SYN_BACKOFF_MAX_US);
     log_info("sync",
              "asking peer kind=%s vm=%s its_change=%" G_GINT64_FORMAT
              " own_change=%" G_GINT64_FORMAT,
@@ -469,13 +547,15 @@
     }
     bool is_early =
         !mem->has_list && now_us - syn->started_us < SYN_MEMBERS_WAIT_US;
-    bool is_follower = mem_is_follower(mem, now_us);
+    syn->is_follower = mem_is_follower(mem, now_us);
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
+        syn_hear(syn, i, mem, now_us);
         syn_end_overdue(syn, i, now_us);
+        syn_end_old(syn, i, now_us);
         syn_note_age(syn, i, now_us);
-        if (syn_ask_peer(syn, i, mem, is_follower, now_us) || is_early ||
-            is_follower) {
+        if (syn_ask_peer(syn, i, mem, now_us) || is_early ||
+            (syn->is_follower && !syn_is_old(syn, i, now_us))) {
             continue;
         }
         if (!feed->is_in_flight && now_us >= feed->due_us) {
@@ -508,17 +588,26 @@
     }
 }
 
+void
+syn_ages(const struct syn *syn, int64_t now_us, int64_t *out)
+{
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        out[i] =
+            syn->feeds[i].has_list ? syn_age_us(syn, i, now_us) : MEM_AGE_NONE;
+    }
+}
+
 bool
 syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us)
 {
     return !syn->feeds[MEM_CONFIG].has_list ||
-           (syn->failing_us > 0 && now_us - syn->failing_us >= age_us);
+           syn_age_us(syn, MEM_CONFIG, now_us) >= age_us;
 }
 
 int64_t
 syn_age_us(const struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
-    return now_us - MAX(syn->feeds[kind].answered_us, syn->started_us);
+    return now_us - MAX(syn->feeds[kind].checked_us, syn->started_us);
 }
 
 const char *
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -34,8 +34,13 @@
     bool is_ready;
     bool is_reply; /* answers a heartbeat, is not answered itself */
     int64_t changes[MEM_KIND_COUNT]; /* store revisions, 0: nothing known */
+    /* For how long the store may have changed without the sender's knowledge;
+     * MEM_AGE_NONE if it has no news, or does not tell. */
+    int64_t ages_us[MEM_KIND_COUNT];
 };
 
+#define MEM_AGE_NONE INT64_MAX
+
 /* A VM that is no hub sends heartbeats to this many hubs, those of its data
  * centre first. */
 #define MEM_PARENTS_MAX 3
@@ -70,6 +75,8 @@
     int64_t retry_us;   /* when one that is dead gets the next heartbeat */
     int64_t changes[MEM_KIND_COUNT];
     int64_t ahead_us[MEM_KIND_COUNT]; /* since when it knows more, 0: not */
+    /* Up to when it knows all changes of the store, 0: not told. */
+    int64_t checked_us[MEM_KIND_COUNT];
 };
 
 struct mem {
@@ -168,6 +175,13 @@
 const struct mem_vm *mem_ahead(const struct mem *mem, enum mem_kind kind,
                                int64_t own, int64_t ahead_us, int64_t now_us);
 
+/*
+ * Up to when the VMs before this one in rank know all changes of the kind, 0
+ * if none does; of them those that know no change after `own`. Since the rank
+ * is the same for all, no VM hears its own word again from another one.
+ */
+int64_t mem_checked_us(struct mem *mem, enum mem_kind kind, int64_t own);
+
 /*
  * Appends the addresses (char *, not owned) that callers should use: those of
  * the live and ready strong VMs, this one included if it `is_ready`; without
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -11,6 +11,12 @@
 /*
  * Follows the kinds of objects in the store: lists them, watches them, asks a
  * peer that knows more, and backs off while the store fails. Does no I/O.
+ *
+ * A watch that waits tells nothing: the store may have no news, or may never
+ * answer it. So the first live VM in rank keeps its watches short, and
+ * heartbeats say how old each kind's news are. A VM whose news are older than
+ * SYN_AGE_MAX_US, by its own calls and by the heartbeats of VMs before it in
+ * rank, asks the store itself.
  */
 
 /* One object, or the news that it is gone. */
@@ -82,8 +88,10 @@
     int64_t due_us;      /* when to fetch next */
     int64_t peer_due_us; /* when a peer may be asked next */
     int64_t sent_us;
-    int64_t answered_us; /* when the store last answered a call of the kind */
-    int64_t noted_us;    /* age at which the news were last logged as old */
+    int64_t wait_us;    /* that the watch asked for */
+    int64_t checked_us; /* up to when all changes are known */
+    bool is_covered;    /* a VM before this one in rank follows the store */
+    int64_t noted_us;   /* age at which the news were last logged as old */
 };
 
 /* Calls that were given up without an answer. */
@@ -103,15 +111,30 @@
     int64_t answered_us;  /* its last answer */
     int64_t recovered_us; /* when it answered again after an outage */
     int64_t started_us;   /* first call of syn_tick() */
+    bool is_follower;     /* hubs follow the store for this VM */
     uint64_t unanswered[SYN_CALL_COUNT]; /* calls that were given up */
+    uint64_t checks;                     /* of news that had become too old */
 };
 
 /* Watches are asked again at most this often, so that a burst of changes
  * costs one call. */
 #define SYN_WATCH_IVL_US (500 * 1000)
 #define SYN_WATCH_WAIT_MS 25000
-/* Without a reply for this long beyond its wait a fetch has failed. */
+/* The same for a VM that none before it in rank tells how new its news are. */
+#define SYN_WATCH_SHORT_MS 1000
+/* Without a reply for this long beyond its wait a watch has failed. */
+#define SYN_WATCH_TIMEOUT_US (1000 * 1000)
+/* Older news are checked with the store. A short watch and a lost heartbeat
+ * take 2 s; a change must be in force 3 s after the store took it. */
+#define SYN_AGE_MAX_US (2000 * 1000)
+/* The same for VMs that leave following the store to hubs: in a large fleet
+ * they exchange heartbeats each second. */
+#define SYN_FOLLOWER_AGE_MAX_US (3500 * 1000)
+/* Without a reply for this long a list has failed. */
 #define SYN_TIMEOUT_US (2000 * 1000)
+/* The same for a question to a peer, who answers from memory. Meanwhile
+ * answers of the store are not taken. */
+#define SYN_PEER_TIMEOUT_US (1000 * 1000)
 /* The same while nothing is known and no request can be served. */
 #define SYN_FIRST_TIMEOUT_US (600 * 1000)
 /* The same after a failure. With the pause after it a VM knows within 1.5 s
@@ -121,6 +144,11 @@
 #define SYN_BACKOFF_MIN_US (200 * 1000)
 #define SYN_BACKOFF_MAX_US (1000 * 1000)
 #define SYN_FIRST_BACKOFF_MAX_US (250 * 1000)
+/* While one kind finds out whether the store answers again, the others wait
+ * for the end of its call. */
+#define SYN_OTHERS_WAIT_US (SYN_RETRY_TIMEOUT_US + SYN_BACKOFF_MIN_US)
+/* The same for a VM that leaves following the store to hubs. */
+#define SYN_FOLLOWER_BACKOFF_MAX_US (4000 * 1000)
 /* News of this age are logged as old, and again each time it has doubled. */
 #define SYN_OLD_US (4000 * 1000)
 /* Failing for this long is an outage, in which entries lapse. */
@@ -159,7 +187,10 @@
 /* The newest changes known, one for each kind. */
 void syn_changes(const struct syn *syn, int64_t *out);
 
-/* Whether the store has not answered for `age_us`. */
+/* How old the news are, one age for each kind, for heartbeats. */
+void syn_ages(const struct syn *syn, int64_t now_us, int64_t *out);
+
+/* Whether the configuration is not known as of `age_us` ago. */
 bool syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us);
 
 /* For how long the store may have changed without this VM's knowledge. */
--- a/tests/gateway/test_beat.c
+++ b/tests/gateway/test_beat.c
@@ -20,6 +20,13 @@
     for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
         g_string_append_printf(out, " %" PRId64, in->changes[kind]);
     }
+    for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
+        if (in->ages_us[kind] == MEM_AGE_NONE) {
+            continue;
+        }
+        g_string_append_printf(out, " age%d=%" PRId64, kind,
+                               in->ages_us[kind]);
+    }
     for (size_t i = 0; i < beat->vouched_count; i++) {
         g_string_append_printf(out, " %s@%s", beat->vouched[i].name,
                                beat->vouched[i].request_address);
@@ -38,7 +45,8 @@
                  .peer_address = "127.0.0.1:2",
                  .capacity = 250,
                  .is_ready = true,
-                 .changes = {INT64_MAX, 0, 7}},
+                 .changes = {INT64_MAX, 0, 7},
+                 .ages_us = {0, MEM_AGE_NONE, 1500000}},
         .vouched = {{"m2", "127.0.0.1:3"}, {"m3", "127.0.0.1:4"}},
         .vouched_count = 2,
     };
--- a/tests/gateway/test_follow.c
+++ b/tests/gateway/test_follow.c
@@ -247,6 +247,7 @@
         .is_reply = is_reply,
     };
     syn_changes(&vm->syn, beat.changes);
+    syn_ages(&vm->syn, vm->fleet->now_us, beat.ages_us);
     return beat;
 }
 
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -207,6 +207,7 @@
         .capacity = argc > 6 ? (uint32_t)scr_number(argc, argv, 6) : CAPACITY,
         .is_ready = scr_number(argc, argv, 4) != 0,
         .changes = {[MEM_CONFIG] = scr_number(argc, argv, 5)},
+        .ages_us = {MEM_AGE_NONE, MEM_AGE_NONE, MEM_AGE_NONE},
     };
     int64_t own[MEM_KIND_COUNT];
     syn_changes(&test->syn, own);
