sync: count a list as of its first page, tell peers of ends that a list shows

Cause: a list of several pages was continued by a watch from the last page's revision, so that a change to an object of an earlier page, made while the list was read, was never heard of. Meanwhile each page raised the change that heartbeats tell, and VMs that ask for what came after it did not get the rest. And when a list showed that objects had gone, heartbeats told no new change, so VMs that leave it to hubs kept them until something else changed.

Change: revision, change and age of a list are those of its first page, and count when its last one was read; the change is raised when a list removes objects.

The expected watch after a list of two pages was from the last page's revision and is now from the first one's, which shows more.

--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -94,6 +94,8 @@
     if (feed->listed == NULL) {
         feed->listed =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        feed->list_revision = 0;
+        feed->list_change = 0;
     }
 }
 
@@ -284,12 +286,14 @@
                       syn->ctx);
 }
 
-/* Objects that a whole list does not name are gone. */
-static void
+/* Objects that a whole list does not name are gone. Returns whether there were
+ * any. */
+static bool
 syn_remove_unlisted(struct syn *syn, enum mem_kind kind, int64_t change,
                     int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
+    bool has_removed = false;
     GList *names = g_hash_table_get_keys(feed->known);
     for (GList *item = names; item != NULL; item = item->next) {
         if (!g_hash_table_contains(feed->listed, item->data)) {
@@ -297,9 +301,25 @@
             struct syn_object object = {.name = name, .is_deleted = true};
             syn_apply(syn, kind, &object, change, now_us);
             g_free(name);
+            has_removed = true;
         }
     }
     g_list_free(names);
+    return has_removed;
+}
+
+/* The end of a list that the store was asked for. What changed while its pages
+ * were read may be missing on the first ones, so that all counts as of the
+ * first page. */
+static void
+syn_end_store_list(struct syn_feed *feed, bool has_removed)
+{
+    int64_t change = has_removed ? feed->list_revision
+                                 : MIN(feed->list_change, feed->list_revision);
+    feed->change = MAX(feed->change, change);
+    feed->checked_us = MAX(feed->checked_us, feed->list_us);
+    feed->must_list = false;
+    feed->revision = feed->list_revision;
 }
 
 static void
@@ -313,39 +333,39 @@
         feed->due_us = now_us;
         return;
     }
-    syn_remove_unlisted(syn, fetch->kind, syn_change_of(reply), now_us);
-    syn_end_list(feed);
+    bool has_removed =
+        syn_remove_unlisted(syn, fetch->kind, syn_change_of(reply), now_us);
     if (!feed->has_list) {
         /* Ends of objects before the first list were never known. */
         feed->floor = syn_change_of(reply);
     }
-    feed->has_list = true;
     if (fetch->peer == NULL) {
-        feed->must_list = false;
-        feed->revision = reply->current_revision;
+        syn_end_store_list(feed, has_removed);
     }
+    syn_end_list(feed);
+    feed->has_list = true;
     feed->due_us = now_us + SYN_WATCH_IVL_US;
 }
 
-/* `shows_all`: the reply says how new its sender's news are. */
-static void
-syn_on_objects(struct syn *syn, enum mem_kind kind, bool shows_all,
+/* Takes over the objects. Returns the newest change that they show, 0 for
+ * none. */
+static int64_t
+syn_on_objects(struct syn *syn, enum mem_kind kind,
                const struct syn_reply *reply, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
-    bool has_deleted = false;
+    int64_t change = reply->change;
     for (size_t i = 0; i < reply->object_count; i++) {
         const struct syn_object *object = &reply->objects[i];
-        has_deleted = has_deleted || object->is_deleted;
         if (feed->listed != NULL) {
             g_hash_table_add(feed->listed, g_strdup(object->name));
         }
-        feed->change = MAX(feed->change, object->revision);
+        int64_t object_change =
+            object->is_deleted ? syn_change_of(reply) : object->revision;
+        change = MAX(change, object_change);
         syn_apply(syn, kind, object, syn_change_of(reply), now_us);
     }
-    if (has_deleted || shows_all || reply->change > 0) {
-        feed->change = MAX(feed->change, syn_change_of(reply));
-    }
+    return change;
 }
 
 static void
@@ -356,13 +376,29 @@
     if (reply->is_whole) {
         syn_begin_list(feed);
     }
-    syn_on_objects(syn, fetch->kind, fetch->peer != NULL, reply, now_us);
+    bool is_list = !reply->is_delta && (!fetch->is_watch || reply->is_whole);
+    if (is_list && feed->list_revision == 0) {
+        feed->list_revision = syn_change_of(reply);
+        feed->list_us = now_us;
+    }
+    int64_t change = syn_on_objects(syn, fetch->kind, reply, now_us);
+    if (fetch->peer != NULL) {
+        /* A peer says how new its news are. */
+        feed->change = MAX(feed->change, syn_change_of(reply));
+    }
+    else if (is_list) {
+        feed->list_change = MAX(feed->list_change, change);
+    }
+    else {
+        feed->change = MAX(feed->change, change);
+        feed->checked_us = now_us;
+    }
     if (reply->is_delta) {
         syn_end_list(feed);
         feed->due_us = now_us;
         return;
     }
-    if (!fetch->is_watch || reply->is_whole) {
+    if (is_list) {
         syn_on_list(syn, fetch, reply, now_us);
         return;
     }
@@ -382,7 +418,6 @@
     if (reply->rc == RC_OK) {
         if (fetch->peer == NULL) {
             syn_note_success(syn, now_us);
-            feed->checked_us = now_us;
         }
         syn_on_usable(syn, fetch, reply, now_us);
         return;
@@ -574,8 +609,9 @@
     }
     syn_end_list(feed);
     syn_begin_list(feed);
-    syn_on_objects(syn, kind, true, reply, now_us);
-    syn_remove_unlisted(syn, kind, reply->change, now_us);
+    int64_t change = syn_on_objects(syn, kind, reply, now_us);
+    feed->change = MAX(feed->change, change);
+    (void)syn_remove_unlisted(syn, kind, reply->change, now_us);
     syn_end_list(feed);
     feed->has_list = true;
 }
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -77,11 +77,14 @@
     GHashTable *known;  /* name -> struct syn_known */
     GHashTable *listed; /* names of a list under way */
     char *after;
-    bool has_list;     /* a whole list was read */
-    bool is_in_flight; /* a fetch is not answered */
-    bool is_from_peer; /* and goes to a peer */
-    bool is_watch;     /* or is a watch */
-    uint32_t serial;   /* of that fetch */
+    int64_t list_revision; /* of that list's first page, 0: not read */
+    int64_t list_us;       /* when that page was read */
+    int64_t list_change;   /* newest change of its objects */
+    bool has_list;         /* a whole list was read */
+    bool is_in_flight;     /* a fetch is not answered */
+    bool is_from_peer;     /* and goes to a peer */
+    bool is_watch;         /* or is a watch */
+    uint32_t serial;       /* of that fetch */
     bool must_list;
     int64_t revision;    /* to watch from */
     int64_t change;      /* newest change known */
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -444,6 +444,19 @@
     }
 }
 
+/* > changes: the newest change known of each kind, as peers hear of it. */
+static void
+run_changes(void *ctx, int argc, char **argv, GString *out)
+{
+    const struct module_test *test = ctx;
+    int64_t changes[MEM_KIND_COUNT];
+    syn_changes(&test->syn, changes);
+    for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
+        g_string_append_printf(out, "%s%" PRId64, kind > 0 ? " " : "",
+                               changes[kind]);
+    }
+}
+
 static void
 module_open(struct module_test *test, uint32_t capacity)
 {
@@ -508,17 +521,29 @@
 }
 
 static const struct scr_command commands[] = {
-    {"roster", run_roster},     {"judge", run_judge},
-    {"covered", run_covered},   {"finish", run_finish},
-    {"share", run_share},       {"records", run_records},
-    {"mem-list", run_mem_list}, {"beat", run_beat},
-    {"mem", run_mem},           {"tick", run_tick},
-    {"reply", run_reply},       {"stale", run_stale},
-    {"age", run_age},           {"reset", run_reset},
-    {"settings", run_settings}, {"news", run_news},
-    {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
-    {"renewed", run_renewed},   {"lost", run_lost},
-    {"vouched", run_vouched},   {"vouch", run_vouch},
+    {"roster", run_roster},
+    {"judge", run_judge},
+    {"covered", run_covered},
+    {"finish", run_finish},
+    {"share", run_share},
+    {"records", run_records},
+    {"mem-list", run_mem_list},
+    {"beat", run_beat},
+    {"mem", run_mem},
+    {"tick", run_tick},
+    {"reply", run_reply},
+    {"stale", run_stale},
+    {"age", run_age},
+    {"changes", run_changes},
+    {"reset", run_reset},
+    {"settings", run_settings},
+    {"news", run_news},
+    {"beats-to", run_beats_to},
+    {"must-reply", run_must_reply},
+    {"renewed", run_renewed},
+    {"lost", run_lost},
+    {"vouched", run_vouched},
+    {"vouch", run_vouch},
 };
 
 static void
