gateway: a part waits for a replica that is full, failed connections are no attempts

Cause: with one replica of a shard down, the other one refuses a request now and then while it is full. The part went to the dead one at once, whose connection is refused within a millisecond, back to the full one, and so on: six attempts were used up in 65 ms with 900 ms left ("part missing rc=link_failed attempts=6 sent=0"). Ruled out: a search that hits its deadline (p999 111 ms of 1,000).

Change: for a part of a search, a failed connection and a refusal that says "not run" take the record of an earlier attempt at the same backend server, and one that was full is asked again after 20 ms unless another replica can take the part. Requests for one target are answered at once as before.

--- a/gateway/ask.c
+++ b/gateway/ask.c
@@ -62,9 +62,7 @@
 static void
 ask_log_missing(const struct prt *part, int64_t now_us)
 {
-    const struct att *last = part->attempt_count > 0
-                                 ? &part->attempts[part->attempt_count - 1]
-                                 : NULL;
+    const struct att *last = prt_last_attempt(part);
     log_sample("request",
                "part missing id=%s service=%s rc=%s attempts=%u "
                "backend=%s sent=%d age_ms=%" G_GINT64_FORMAT,
--- a/gateway/choose.c
+++ b/gateway/choose.c
@@ -138,12 +138,13 @@
     return now_us < backend->avoid_us || chs_is_tried(request, backend);
 }
 
-/* Whether a connection to it for this request failed just now. */
+/* Whether one of the flags of the tried backend servers is set for it. */
 static bool
-chs_is_refused(const struct chs_request *request, const struct bke *backend)
+chs_has_flag(const struct chs_request *request, const struct bke *backend,
+             const bool *flags)
 {
     for (uint32_t i = 0; i < request->tried_count; i++) {
-        if (request->tried[i] == backend && request->is_refused[i]) {
+        if (request->tried[i] == backend && flags[i]) {
             return true;
         }
     }
@@ -244,13 +245,18 @@
         struct bke *backend = g_ptr_array_index(all, (first + i) % all_count);
         int checked = chs_check(set, request, backend, now_us);
         bool is_good = !chs_has_failed(request, backend, now_us);
+        if (checked == RC_OK &&
+            chs_has_flag(request, backend, request->is_full)) {
+            checked = RC_LIMIT;
+            is_good = true;
+        }
         has_good = has_good || (checked == RC_OK && is_good);
         has_good_busy = has_good_busy || (checked == RC_LIMIT && is_good);
         if (checked != RC_OK) {
             rc = rc == RC_LIMIT || checked == RC_NO_SEARCHER ? rc : checked;
             continue;
         }
-        refused_count += chs_is_refused(request, backend);
+        refused_count += chs_has_flag(request, backend, request->is_refused);
         if (count < CHS_CANDIDATES_MAX) {
             candidates[count] = (struct chs_candidate){
                 .backend = backend,
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -13,6 +13,9 @@
 /* A backend server that refused the connection may be asked again after this
  * time, earlier if there is no other one. */
 #define PRT_REFUSED_US (20 * 1000)
+/* A search asks a backend server that was full again after this time, about
+ * that of two requests, unless another one can take the part. */
+#define PRT_FULL_US (20 * 1000)
 /* After a refusal a part asks again for a hedge. */
 #define PRT_HEDGE_AGAIN_US (20 * 1000)
 /* Extra sends that hedges leave for retries. */
@@ -35,6 +38,20 @@
     return false;
 }
 
+const struct att *
+prt_last_attempt(const struct prt *part)
+{
+    const struct att *last = NULL;
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        const struct att *att = &part->attempts[i];
+        if (last == NULL || att->started_us > last->started_us ||
+            (att->started_us == last->started_us && att->link != NULL)) {
+            last = att;
+        }
+    }
+    return last;
+}
+
 /* Attempts that ran or may have run. */
 static uint32_t
 prt_run_count(const struct prt *part)
@@ -105,6 +122,9 @@
             request.is_refused[request.tried_count] =
                 att->link == NULL && !att->is_sent &&
                 now_us - att->started_us < PRT_REFUSED_US;
+            request.is_full[request.tried_count] =
+                part->ask->route->is_gather && att->shed_us > 0 &&
+                now_us - att->shed_us < PRT_FULL_US;
             request.tried_count += 1;
         }
     }
@@ -163,17 +183,38 @@
     return NULL;
 }
 
+/*
+ * The record of an attempt that begins. For a part of a search it takes the
+ * place of an earlier one of the same backend server that certainly has not
+ * run: neither a failed connection nor a refusal uses up the attempts of a
+ * shard.
+ */
+static struct att *
+prt_new_attempt(struct prt *part, struct bke *backend)
+{
+    for (uint32_t i = 0; i < part->attempt_count; i++) {
+        struct att *att = prt_attempt_of(part, i);
+        if (part->ask->route->is_gather && att->backend == backend &&
+            att->link == NULL && (!att->is_sent || att->has_not_run)) {
+            return att;
+        }
+    }
+    struct att *att = prt_attempt_of(part, part->attempt_count);
+    *att = (struct att){.backend = bke_ref(backend)};
+    part->attempt_count += 1;
+    return att;
+}
+
 static bool
 prt_attempt(struct prt *part, struct bke *backend, int64_t now_us)
 {
     struct gtw *gtw = part->ask->gtw;
-    struct att *att = prt_attempt_of(part, part->attempt_count);
+    struct att *att = prt_new_attempt(part, backend);
     *att = (struct att){
         .part = part,
-        .backend = bke_ref(backend),
+        .backend = att->backend,
         .started_us = now_us,
     };
-    part->attempt_count += 1;
     att->link = prt_idle_link(part, backend, now_us);
     if (att->link == NULL) {
         att->link = bke_open_link(&gtw->backends, backend, att, now_us);
@@ -274,7 +315,7 @@
         cnt_add(gtw->counters, "gateway_hedges_refused", "budget");
         return;
     }
-    const struct att *first = &part->attempts[part->attempt_count - 1];
+    const struct att *first = prt_last_attempt(part);
     log_step("request",
              "hedged id=%s service=%s backend=%s age_us=%" G_GINT64_FORMAT
              " to=%s to_usual_us=%" G_GINT64_FORMAT " extra_sends_left=%u",
@@ -295,14 +336,11 @@
 prt_hedge_us(const struct prt *part)
 {
     const struct ask *ask = part->ask;
-    if (!ask->route->is_idempotent || part->attempt_count == 0 ||
+    const struct att *last = prt_last_attempt(part);
+    if (!ask->route->is_idempotent || last == NULL || last->link == NULL ||
         !prt_may_try(part)) {
         return INT64_MAX;
     }
-    const struct att *last = &part->attempts[part->attempt_count - 1];
-    if (last->link == NULL) {
-        return INT64_MAX;
-    }
     struct hdg *hedge = &gtw_route(ask->gtw, ask->route)->hedge;
     int64_t budget_us = ask->route->objective_us > 0
                             ? ask->route->objective_us
@@ -410,6 +448,7 @@
     att->has_not_run = att->is_sent && rc_run(rc) == RC_RUN_NO;
     part->rc = rc;
     if (rc == RC_SHED) {
+        att->shed_us = now_us;
         bke_on_shed(att->backend, now_us);
     }
     else if (rc == RC_WRONG_BACKEND) {
--- a/include/gateway/ask.h
+++ b/include/gateway/ask.h
@@ -14,6 +14,7 @@
     struct bke *backend;
     struct bke_link *link; /* NULL once settled */
     int64_t started_us;
+    int64_t shed_us; /* when the backend server refused it, 0: it did not */
     bool is_sent;
     bool is_overdue; /* counted as a failure of the backend server */
     bool has_not_run;
@@ -91,6 +92,10 @@
  * is not answered. */
 void prt_abandon(struct prt *part, int64_t keep_us, int64_t now_us);
 
+/* The attempt that began last, or NULL; of two at the same time the one that
+ * is open. */
+const struct att *prt_last_attempt(const struct prt *part);
+
 /* Whether any request of the part may have run. */
 bool prt_may_have_run(const struct prt *part);
 
--- a/include/gateway/choose.h
+++ b/include/gateway/choose.h
@@ -25,6 +25,7 @@
     struct chs_bounds bounds;
     const struct bke *tried[CHS_TRIED_MAX];
     bool is_refused[CHS_TRIED_MAX]; /* its connection failed just now */
+    bool is_full[CHS_TRIED_MAX]; /* it was full just now, and is waited for */
     uint32_t tried_count;
     /* Usual time of a request on this route without load, 0: not known. */
     int64_t base_us;
