sync: VMs that leave the store to hubs ask it in turn when their news are old

Change: such a VM asks for news that are 3.5 s old plus 0.1 s for each one before it in rank, and one kind at a time. When the store refuses all hubs, the first of them ask, and hubs hear of the change by their heartbeats and ask them.

--- a/gateway/member.c
+++ b/gateway/member.c
@@ -342,6 +342,15 @@
     return is_follower;
 }
 
+uint32_t
+mem_follower_index(struct mem *mem)
+{
+    mem_rank(mem);
+    guint index = 0;
+    (void)g_ptr_array_find(mem->ranked, mem->self, &index);
+    return index - MIN(index, mem_hub_count(mem));
+}
+
 /* Moves the VMs of this one's data centre to the front. */
 static void
 mem_own_dc_first(const struct mem *mem, GPtrArray *vms)
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -102,9 +102,7 @@
 static bool
 syn_is_old(const struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
-    int64_t max_us =
-        syn->is_follower ? SYN_FOLLOWER_AGE_MAX_US : SYN_AGE_MAX_US;
-    return syn_age_us(syn, kind, now_us) >= max_us;
+    return syn_age_us(syn, kind, now_us) >= syn->age_max_us;
 }
 
 /* How long the store may wait for a change before it answers a watch: not at
@@ -574,6 +572,21 @@
     return true;
 }
 
+/* Whether the store may be called for the kind: by a VM that leaves it to hubs
+ * only for news that are too old, one kind after the other. */
+static bool
+syn_may_call(const struct syn *syn, enum mem_kind kind, int64_t now_us)
+{
+    if (!syn->is_follower) {
+        return !syn->feeds[kind].is_in_flight;
+    }
+    bool is_calling = false;
+    for (int i = 0; i < MEM_KIND_COUNT; i++) {
+        is_calling = is_calling || syn->feeds[i].is_in_flight;
+    }
+    return !is_calling && syn_is_old(syn, kind, now_us);
+}
+
 void
 syn_tick(struct syn *syn, struct mem *mem, int64_t now_us)
 {
@@ -583,17 +596,20 @@
     bool is_early =
         !mem->has_list && now_us - syn->started_us < SYN_MEMBERS_WAIT_US;
     syn->is_follower = mem_is_follower(mem, now_us);
+    syn->age_max_us = syn->is_follower
+                          ? SYN_FOLLOWER_AGE_MAX_US +
+                                mem_follower_index(mem) * SYN_FOLLOWER_STEP_US
+                          : SYN_AGE_MAX_US;
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
         struct syn_feed *feed = &syn->feeds[i];
         syn_hear(syn, i, mem, now_us);
         syn_end_overdue(syn, i, now_us);
         syn_end_old(syn, i, now_us);
         syn_note_age(syn, i, now_us);
-        if (syn_ask_peer(syn, i, mem, now_us) || is_early ||
-            (syn->is_follower && !syn_is_old(syn, i, now_us))) {
+        if (syn_ask_peer(syn, i, mem, now_us) || is_early) {
             continue;
         }
-        if (!feed->is_in_flight && now_us >= feed->due_us) {
+        if (now_us >= feed->due_us && syn_may_call(syn, i, now_us)) {
             syn_fetch(syn, i, NULL, now_us);
         }
     }
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -156,6 +156,9 @@
 /* Whether this VM leaves following the store to a hub. */
 bool mem_is_follower(struct mem *mem, int64_t now_us);
 
+/* Number of VMs before this one in rank that are no hubs while all live. */
+uint32_t mem_follower_index(struct mem *mem);
+
 /* Appends the VMs (struct mem_vm) that get a heartbeat now and notes it: for a
  * hub all hubs, else some of them. */
 void mem_beat_targets(struct mem *mem, int64_t now_us, GPtrArray *out);
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -14,9 +14,9 @@
  *
  * A watch that waits tells nothing: the store may have no news, or may never
  * answer it. So the first live VM in rank keeps its watches short, and
- * heartbeats say how old each kind's news are. A VM whose news are older than
- * SYN_AGE_MAX_US, by its own calls and by the heartbeats of VMs before it in
- * rank, asks the store itself.
+ * heartbeats say how old each kind's news are. A VM whose news are too old, by
+ * its own calls and by the heartbeats of VMs before it in rank, asks the store
+ * itself.
  */
 
 /* One object, or the news that it is gone. */
@@ -109,12 +109,13 @@
     const struct syn_calls *calls;
     void *ctx;
     struct syn_feed feeds[MEM_KIND_COUNT];
+    bool is_follower;     /* hubs follow the store for this VM */
+    int64_t age_max_us;   /* older news are checked with the store */
     uint32_t fail_run;    /* fetches from the store that failed in a row */
     int64_t failing_us;   /* since when, 0: it answers */
     int64_t answered_us;  /* its last answer */
     int64_t recovered_us; /* when it answered again after an outage */
     int64_t started_us;   /* first call of syn_tick() */
-    bool is_follower;     /* hubs follow the store for this VM */
     uint64_t unanswered[SYN_CALL_COUNT]; /* calls that were given up */
     uint64_t checks;                     /* of news that had become too old */
 };
@@ -130,9 +131,12 @@
 /* Older news are checked with the store. A short watch and a lost heartbeat
  * take 2 s; a change must be in force 3 s after the store took it. */
 #define SYN_AGE_MAX_US (2000 * 1000)
-/* The same for VMs that leave following the store to hubs: in a large fleet
- * they exchange heartbeats each second. */
+/* The same for the first VM that leaves following the store to hubs: in a
+ * large fleet they exchange heartbeats each second. */
 #define SYN_FOLLOWER_AGE_MAX_US (3500 * 1000)
+/* Added for each one before it in rank. Hubs that missed news ask the first
+ * ones for it, and a store that has failed is not called by all at once. */
+#define SYN_FOLLOWER_STEP_US (100 * 1000)
 /* Without a reply for this long a list has failed. */
 #define SYN_TIMEOUT_US (2000 * 1000)
 /* The same for a question to a peer, who answers from memory. Meanwhile
--- a/tests/gateway/test_follow.c
+++ b/tests/gateway/test_follow.c
@@ -446,6 +446,19 @@
     }
 }
 
+/* > refuse-hubs MS */
+static void
+run_refuse_hubs(void *ctx, int argc, char **argv, GString *out)
+{
+    struct fleet *fleet = ctx;
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        struct vm *vm = &fleet->vms[i];
+        if (!mem_is_follower(&vm->mem, fleet->now_us)) {
+            vm->refused_us = fleet->now_us + scr_number(argc, argv, 1) * MS;
+        }
+    }
+}
+
 /* > cut MS VM...: no VM reaches them. */
 static void
 run_cut(void *ctx, int argc, char **argv, GString *out)
@@ -502,10 +515,13 @@
 }
 
 static const struct scr_command commands[] = {
-    {"vms", run_vms},       {"run", run_run},       {"change", run_change},
-    {"known", run_known},   {"silent", run_silent}, {"deaf", run_deaf},
-    {"lost", run_lost},     {"refuse", run_refuse}, {"cut", run_cut},
-    {"freeze", run_freeze}, {"loss", run_loss},     {"calls", run_calls},
+    {"vms", run_vms},       {"run", run_run},
+    {"change", run_change}, {"known", run_known},
+    {"silent", run_silent}, {"deaf", run_deaf},
+    {"lost", run_lost},     {"refuse-hubs", run_refuse_hubs},
+    {"refuse", run_refuse}, {"cut", run_cut},
+    {"freeze", run_freeze}, {"loss", run_loss},
+    {"calls", run_calls},
 };
 
 static void
