gateway: split what is known of a kind from when it is fetched

Taking over lists, watches and peers' news is now gateway/feed.c (prefix fed_), with the types of objects and replies; sync.c decides when to ask, and whom. No behaviour is changed: the scripts of follow, modules, platform and native pass as they were.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -51,7 +51,7 @@
 app_is_ready(const struct app *app)
 {
     return app->stopping_us == 0 && app->gtw.config != NULL &&
-           app->syn.feeds[MEM_BACKENDS].has_list;
+           app->syn.feeds[MEM_BACKENDS].news.has_list;
 }
 
 static void
@@ -67,7 +67,7 @@
 }
 
 static void
-app_apply_config(struct app *app, const struct syn_object *object)
+app_apply_config(struct app *app, const struct fed_object *object)
 {
     struct gcf *config = NULL;
     if (object->is_deleted ||
@@ -83,7 +83,7 @@
 }
 
 static void
-app_apply_backend(struct app *app, const struct syn_object *object,
+app_apply_backend(struct app *app, const struct fed_object *object,
                   int64_t remove_us, int64_t now_us)
 {
     struct bke_entry entry;
@@ -98,7 +98,7 @@
         bool is_new = bke_find(&app->gtw.backends, entry.id) == NULL;
         bke_note(&app->gtw.backends, &entry, now_us);
         if (is_new && !app->wire->tells_cold &&
-            app->syn.feeds[MEM_BACKENDS].has_list) {
+            app->syn.feeds[MEM_BACKENDS].news.has_list) {
             gtw_on_new_backend(&app->gtw, entry.id, now_us);
         }
         return;
@@ -109,7 +109,7 @@
 }
 
 static void
-app_apply(enum mem_kind kind, const struct syn_object *object,
+app_apply(enum mem_kind kind, const struct fed_object *object,
           int64_t remove_us, int64_t now_us, void *ctx)
 {
     struct app *app = ctx;
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -28,7 +28,7 @@
 }
 
 static json_t *
-nws_write_objects(const struct syn_feed *feed, int64_t since)
+nws_write_objects(const struct fed *feed, int64_t since)
 {
     json_t *objects = json_array();
     GHashTableIter iter;
@@ -36,7 +36,7 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, feed->known);
     while (g_hash_table_iter_next(&iter, &name, &value)) {
-        const struct syn_known *known = value;
+        const struct fed_known *known = value;
         if (known->revision <= since) {
             continue;
         }
@@ -49,12 +49,12 @@
 }
 
 static json_t *
-nws_write_removed(const struct syn_feed *feed, int64_t since)
+nws_write_removed(const struct fed *feed, int64_t since)
 {
     json_t *names = json_array();
     for (const GList *item = feed->removed.head; item != NULL;
          item = item->next) {
-        const struct syn_removed *removed = item->data;
+        const struct fed_removed *removed = item->data;
         if (removed->change > since &&
             !g_hash_table_contains(feed->known, removed->name)) {
             json_array_append_new(names, json_string(removed->name));
@@ -66,7 +66,7 @@
 char *
 nws_write(const struct syn *syn, enum mem_kind kind, int64_t since)
 {
-    const struct syn_feed *feed = syn_feed_of(syn, kind);
+    const struct fed *feed = syn_news_of(syn, kind);
     bool is_delta = since > 0 && since >= feed->floor;
     json_t *root =
         json_pack("{s:I,s:o}", "change", (json_int_t)feed->change, "objects",
@@ -82,10 +82,10 @@
 }
 
 static bool
-nws_read_object(json_t *json, struct syn_object *out)
+nws_read_object(json_t *json, struct fed_object *out)
 {
     json_t *revision = json_object_get(json, "revision");
-    *out = (struct syn_object){
+    *out = (struct fed_object){
         .name = json_string_value(json_object_get(json, "name")),
         .revision = json_integer_value(revision),
         .spec = json_object_get(json, "spec"),
@@ -106,12 +106,12 @@
         log_warn("news", "unreadable list of objects");
         return;
     }
-    out->objects = g_array_new(FALSE, FALSE, sizeof(struct syn_object));
+    out->objects = g_array_new(FALSE, FALSE, sizeof(struct fed_object));
     size_t i = 0;
     json_t *item = NULL;
     json_array_foreach(objects, i, item)
     {
-        struct syn_object object;
+        struct fed_object object;
         if (!nws_read_object(item, &object)) {
             log_warn("news", "unreadable object in a list");
             return;
@@ -121,7 +121,7 @@
     json_t *removed = json_object_get(out->root, "removed");
     json_array_foreach(removed, i, item)
     {
-        struct syn_object object = {
+        struct fed_object object = {
             .name = json_string_value(item),
             .is_deleted = true,
         };
@@ -129,10 +129,10 @@
             g_array_append_val(out->objects, object);
         }
     }
-    out->reply = (struct syn_reply){
+    out->reply = (struct fed_reply){
         .rc = RC_OK,
         .is_delta = removed != NULL,
-        .objects = (const struct syn_object *)out->objects->data,
+        .objects = (const struct fed_object *)out->objects->data,
         .object_count = out->objects->len,
         .current_revision = json_integer_value(change),
     };
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -171,7 +171,7 @@
 }
 
 static void
-pio_pull_end(struct pio_pull *pull, const struct syn_reply *reply)
+pio_pull_end(struct pio_pull *pull, const struct fed_reply *reply)
 {
     hcl_close(pull->conn);
     pull->conn = NULL;
@@ -202,7 +202,7 @@
         g_free(path);
     }
     if (rc != RC_OK) {
-        pio_pull_end(pull, &(struct syn_reply){.rc = rc});
+        pio_pull_end(pull, &(struct fed_reply){.rc = rc});
     }
 }
 
--- a/gateway/roster_io.c
+++ b/gateway/roster_io.c
@@ -41,7 +41,7 @@
     uint32_t count = 0;
     for (size_t i = 0; i < objects->reply.object_count; i++) {
         struct bke_entry entry;
-        const struct syn_object *object = &objects->reply.objects[i];
+        const struct fed_object *object = &objects->reply.objects[i];
         if (bke_find(&app->gtw.backends, object->name) != NULL ||
             app->wire->read_backend(object, &entry) != RC_OK ||
             entry.is_draining) {
@@ -203,7 +203,7 @@
         app->wire->write_roster == NULL) {
         return;
     }
-    const struct syn_feed *feed = syn_feed_of(&app->syn, MEM_BACKENDS);
+    const struct fed *feed = syn_news_of(&app->syn, MEM_BACKENDS);
     struct ros_state state = {
         .is_first = mem_is_first_live(&app->mem, now_us),
         .has_list = feed->has_list && app->gtw.config != NULL,
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -71,7 +71,7 @@
 {
     sto_close(&feed->conn);
     feed->is_up = false;
-    struct syn_reply reply = {.rc = rc};
+    struct fed_reply reply = {.rc = rc};
     syn_on_reply(&feed->app->syn, &feed->fetch, &reply, app_now_us());
 }
 
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -16,86 +16,20 @@
     [SYN_PEER] = "peer",
 };
 
-static void
-syn_known_free(gpointer data)
-{
-    struct syn_known *known = data;
-    json_decref(known->spec);
-    g_free(known);
-}
-
-static void
-syn_removed_free(struct syn_removed *removed)
-{
-    g_free(removed->name);
-    g_free(removed);
-}
-
-/* Keeps the end of an object for peers that ask what changed. */
-static void
-syn_keep_removed(struct syn_feed *feed, const char *name, int64_t change)
-{
-    struct syn_removed *removed = g_new0(struct syn_removed, 1);
-    removed->name = g_strdup(name);
-    removed->change = change;
-    g_queue_push_tail(&feed->removed, removed);
-    if (feed->removed.length > SYN_REMOVED_MAX) {
-        struct syn_removed *oldest = g_queue_pop_head(&feed->removed);
-        feed->floor = MAX(feed->floor, oldest->change);
-        syn_removed_free(oldest);
-    }
-}
-
 void
 syn_init(struct syn *syn, const struct syn_calls *calls, void *ctx)
 {
     *syn = (struct syn){.calls = calls, .ctx = ctx};
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        syn->feeds[i].known = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                                    g_free, syn_known_free);
-        g_queue_init(&syn->feeds[i].removed);
-        syn->feeds[i].must_list = true;
-    }
-}
-
-static void
-syn_end_list(struct syn_feed *feed)
-{
-    if (feed->listed != NULL) {
-        g_hash_table_destroy(feed->listed);
-        feed->listed = NULL;
+        fed_init(&syn->feeds[i].news);
     }
-    g_free(feed->after);
-    feed->after = NULL;
 }
 
 void
 syn_clear(struct syn *syn)
 {
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        syn_end_list(&syn->feeds[i]);
-        g_hash_table_destroy(syn->feeds[i].known);
-        while (!g_queue_is_empty(&syn->feeds[i].removed)) {
-            syn_removed_free(g_queue_pop_head(&syn->feeds[i].removed));
-        }
-    }
-}
-
-/* The change that a reply shows. */
-static int64_t
-syn_change_of(const struct syn_reply *reply)
-{
-    return reply->change > 0 ? reply->change : reply->current_revision;
-}
-
-static void
-syn_begin_list(struct syn_feed *feed)
-{
-    if (feed->listed == NULL) {
-        feed->listed =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        feed->list_revision = 0;
-        feed->list_change = 0;
+        fed_clear(&syn->feeds[i].news);
     }
 }
 
@@ -127,25 +61,22 @@
     feed->is_from_peer = peer != NULL;
     feed->sent_us = now_us;
     if (peer != NULL) {
-        syn_end_list(feed);
+        fed_end_list(&feed->news);
     }
     /* While the store fails a list finds out whether it answers again: a watch
      * is answered only when something changes. */
-    bool is_list = feed->must_list || peer != NULL || syn->fail_run > 0;
+    bool is_list = feed->news.must_list || peer != NULL || syn->fail_run > 0;
     feed->is_watch = !is_list;
-    if (is_list) {
-        syn_begin_list(feed);
-    }
     int64_t wait_ms = is_list ? 0 : syn_wait_ms(syn, kind, now_us);
     feed->wait_us = wait_ms * 1000;
     struct syn_fetch fetch = {
         .kind = kind,
         .is_watch = !is_list,
-        .revision = feed->revision,
+        .revision = feed->news.revision,
         .wait_ms = wait_ms,
-        .after = feed->after,
+        .after = feed->news.after,
         .peer = peer,
-        .since = feed->has_list ? feed->change : 0,
+        .since = feed->news.has_list ? feed->news.change : 0,
         .serial = feed->serial,
     };
     syn->calls->fetch(&fetch, syn->ctx);
@@ -156,7 +87,7 @@
 syn_has_all(const struct syn *syn)
 {
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        if (!syn->feeds[i].has_list) {
+        if (!syn->feeds[i].news.has_list) {
             return false;
         }
     }
@@ -258,155 +189,50 @@
     return remove_us;
 }
 
-static void
-syn_apply(struct syn *syn, enum mem_kind kind, const struct syn_object *object,
-          int64_t change, int64_t now_us)
-{
-    struct syn_feed *feed = &syn->feeds[kind];
-    struct syn_known *known = g_hash_table_lookup(feed->known, object->name);
-    if (object->is_deleted) {
-        if (known == NULL) {
-            return;
-        }
-        g_hash_table_remove(feed->known, object->name);
-        syn_keep_removed(feed, object->name, change);
-    }
-    else {
-        if (known != NULL && known->revision >= object->revision) {
-            return;
-        }
-        known = g_new0(struct syn_known, 1);
-        known->revision = object->revision;
-        known->spec = json_incref(object->spec);
-        g_hash_table_replace(feed->known, g_strdup(object->name), known);
-    }
-    syn->calls->apply(kind, object, syn_remove_us(syn, now_us), now_us,
-                      syn->ctx);
-}
-
-/* Objects that a whole list does not name are gone. Returns whether there were
- * any. */
-static bool
-syn_remove_unlisted(struct syn *syn, enum mem_kind kind, int64_t change,
-                    int64_t now_us)
-{
-    struct syn_feed *feed = &syn->feeds[kind];
-    bool has_removed = false;
-    GList *names = g_hash_table_get_keys(feed->known);
-    for (GList *item = names; item != NULL; item = item->next) {
-        if (!g_hash_table_contains(feed->listed, item->data)) {
-            char *name = g_strdup(item->data);
-            struct syn_object object = {.name = name, .is_deleted = true};
-            syn_apply(syn, kind, &object, change, now_us);
-            g_free(name);
-            has_removed = true;
-        }
-    }
-    g_list_free(names);
-    return has_removed;
-}
+/* Where the objects of a reply go. */
+struct syn_sink {
+    struct syn *syn;
+    enum mem_kind kind;
+    int64_t now_us;
+};
 
-/* The end of a list that the store was asked for. What changed while its pages
- * were read may be missing on the first ones, so that all counts as of the
- * first page. */
 static void
-syn_end_store_list(struct syn_feed *feed, bool has_removed)
+syn_on_object(const struct fed_object *object, void *ctx)
 {
-    int64_t change = has_removed ? feed->list_revision
-                                 : MIN(feed->list_change, feed->list_revision);
-    feed->change = MAX(feed->change, change);
-    feed->checked_us = MAX(feed->checked_us, feed->list_us);
-    feed->must_list = false;
-    feed->revision = feed->list_revision;
+    const struct syn_sink *sink = ctx;
+    struct syn *syn = sink->syn;
+    syn->calls->apply(sink->kind, object, syn_remove_us(syn, sink->now_us),
+                      sink->now_us, syn->ctx);
 }
 
-static void
-syn_on_list(struct syn *syn, const struct syn_fetch *fetch,
-            const struct syn_reply *reply, int64_t now_us)
+static enum fed_source
+syn_source_of(const struct syn_fetch *fetch)
 {
-    struct syn_feed *feed = &syn->feeds[fetch->kind];
-    if (reply->has_more && reply->object_count > 0) {
-        g_free(feed->after);
-        feed->after = g_strdup(reply->objects[reply->object_count - 1].name);
-        feed->due_us = now_us;
-        return;
-    }
-    bool has_removed =
-        syn_remove_unlisted(syn, fetch->kind, syn_change_of(reply), now_us);
-    if (!feed->has_list) {
-        /* Ends of objects before the first list were never known. */
-        feed->floor = syn_change_of(reply);
-    }
-    if (fetch->peer == NULL) {
-        syn_end_store_list(feed, has_removed);
-    }
-    syn_end_list(feed);
-    feed->has_list = true;
-    feed->due_us = now_us + SYN_WATCH_IVL_US;
-}
-
-/* Takes over the objects. Returns the newest change that they show, 0 for
- * none. */
-static int64_t
-syn_on_objects(struct syn *syn, enum mem_kind kind,
-               const struct syn_reply *reply, int64_t now_us)
-{
-    struct syn_feed *feed = &syn->feeds[kind];
-    int64_t change = reply->change;
-    for (size_t i = 0; i < reply->object_count; i++) {
-        const struct syn_object *object = &reply->objects[i];
-        if (feed->listed != NULL) {
-            g_hash_table_add(feed->listed, g_strdup(object->name));
-        }
-        int64_t object_change =
-            object->is_deleted ? syn_change_of(reply) : object->revision;
-        change = MAX(change, object_change);
-        syn_apply(syn, kind, object, syn_change_of(reply), now_us);
+    if (fetch->peer != NULL) {
+        return FED_PEER;
     }
-    return change;
+    return fetch->is_watch ? FED_WATCH : FED_LIST;
 }
 
 static void
 syn_on_usable(struct syn *syn, const struct syn_fetch *fetch,
-              const struct syn_reply *reply, int64_t now_us)
+              const struct fed_reply *reply, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[fetch->kind];
-    if (reply->is_whole) {
-        syn_begin_list(feed);
-    }
-    bool is_list = !reply->is_delta && (!fetch->is_watch || reply->is_whole);
-    if (is_list && feed->list_revision == 0) {
-        feed->list_revision = syn_change_of(reply);
-        feed->list_us = now_us;
-    }
-    int64_t change = syn_on_objects(syn, fetch->kind, reply, now_us);
-    if (fetch->peer != NULL) {
-        /* A peer says how new its news are. */
-        feed->change = MAX(feed->change, syn_change_of(reply));
-    }
-    else if (is_list) {
-        feed->list_change = MAX(feed->list_change, change);
-    }
-    else {
-        feed->change = MAX(feed->change, change);
-        feed->checked_us = now_us;
-    }
-    if (reply->is_delta) {
-        syn_end_list(feed);
-        feed->due_us = now_us;
-        return;
-    }
-    if (is_list) {
-        syn_on_list(syn, fetch, reply, now_us);
-        return;
-    }
-    feed->revision = MAX(feed->revision, reply->current_revision);
-    feed->due_us = now_us + (reply->object_count > 0 ? SYN_WATCH_IVL_US : 0);
+    struct syn_sink sink = {
+        .syn = syn,
+        .kind = fetch->kind,
+        .now_us = now_us,
+    };
+    enum fed_result result = fed_take(&feed->news, syn_source_of(fetch), reply,
+                                      now_us, syn_on_object, &sink);
+    bool is_followed = result == FED_WHOLE || result == FED_CHANGED;
+    feed->due_us = now_us + (is_followed ? SYN_WATCH_IVL_US : 0);
 }
 
 void
 syn_on_reply(struct syn *syn, const struct syn_fetch *fetch,
-             const struct syn_reply *reply, int64_t now_us)
+             const struct fed_reply *reply, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[fetch->kind];
     if (!feed->is_in_flight || fetch->serial != feed->serial) {
@@ -420,12 +246,13 @@
         syn_on_usable(syn, fetch, reply, now_us);
         return;
     }
-    syn_end_list(feed);
+    fed_end_list(&feed->news);
     if (fetch->peer != NULL) {
         feed->due_us = now_us;
         return;
     }
-    feed->must_list = feed->must_list || reply->rc == RC_VERSION_GONE;
+    feed->news.must_list =
+        feed->news.must_list || reply->rc == RC_VERSION_GONE;
     if (reply->rc == RC_VERSION_GONE) {
         syn_note_success(syn, now_us);
         feed->due_us = now_us;
@@ -457,7 +284,7 @@
         /* The store has answered since, or another kind asks it. */
         feed->is_in_flight = false;
         feed->due_us = is_lost_alone ? now_us : feed->due_us;
-        syn_end_list(feed);
+        fed_end_list(&feed->news);
         return;
     }
     struct syn_fetch fetch = {
@@ -465,7 +292,7 @@
         .peer = feed->is_from_peer ? "" : NULL,
         .serial = feed->serial,
     };
-    syn_on_reply(syn, &fetch, &(struct syn_reply){.rc = RC_STORE_DOWN},
+    syn_on_reply(syn, &fetch, &(struct fed_reply){.rc = RC_STORE_DOWN},
                  now_us);
 }
 
@@ -487,7 +314,7 @@
              "news are old kind=%s age_ms=%" G_GINT64_FORMAT
              " change=%" G_GINT64_FORMAT " call=%s waited_ms=%" G_GINT64_FORMAT
              " failures=%u",
-             syn_names[kind], age_us / 1000, feed->change,
+             syn_names[kind], age_us / 1000, feed->news.change,
              feed->is_in_flight ? syn_call_names[syn_call_of(feed)] : "none",
              feed->is_in_flight ? (now_us - feed->sent_us) / 1000 : 0,
              syn->fail_run);
@@ -498,9 +325,9 @@
 syn_hear(struct syn *syn, enum mem_kind kind, struct mem *mem, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
-    int64_t same_us = mem_checked_us(mem, kind, feed->change);
-    if (feed->has_list) {
-        feed->checked_us = MAX(feed->checked_us, same_us);
+    int64_t same_us = mem_checked_us(mem, kind, feed->news.change);
+    if (feed->news.has_list) {
+        feed->news.checked_us = MAX(feed->news.checked_us, same_us);
     }
     int64_t any_us = mem_checked_us(mem, kind, INT64_MAX);
     feed->is_covered = any_us > 0 && now_us - any_us < SYN_AGE_MAX_US;
@@ -521,7 +348,7 @@
              "checking news kind=%s age_ms=%" G_GINT64_FORMAT
              " change=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
              syn_names[kind], syn_age_us(syn, kind, now_us) / 1000,
-             feed->change, (now_us - feed->sent_us) / 1000);
+             feed->news.change, (now_us - feed->sent_us) / 1000);
     feed->is_in_flight = false;
     feed->due_us = now_us;
 }
@@ -530,7 +357,7 @@
 static bool
 syn_is_first_pending(const struct syn_feed *feed, int64_t now_us)
 {
-    return !feed->has_list && feed->is_in_flight &&
+    return !feed->news.has_list && feed->is_in_flight &&
            now_us - feed->sent_us < SYN_FIRST_PATIENCE_US;
 }
 
@@ -539,7 +366,7 @@
 static bool
 syn_must_check(const struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
-    return syn->feeds[kind].has_list && syn->fail_run == 0 &&
+    return syn->feeds[kind].news.has_list && syn->fail_run == 0 &&
            syn_is_old(syn, kind, now_us);
 }
 
@@ -556,9 +383,10 @@
         syn_must_check(syn, kind, now_us)) {
         return false;
     }
-    int64_t ahead_us = syn->is_follower || !feed->has_list ? 0 : MEM_AHEAD_US;
+    int64_t ahead_us =
+        syn->is_follower || !feed->news.has_list ? 0 : MEM_AHEAD_US;
     const struct mem_vm *vm =
-        mem_ahead(mem, kind, feed->change, ahead_us, now_us);
+        mem_ahead(mem, kind, feed->news.change, ahead_us, now_us);
     if (vm == NULL || vm->peer_address == NULL) {
         return false;
     }
@@ -567,7 +395,7 @@
     log_info("sync",
              "asking peer kind=%s vm=%s its_change=%" G_GINT64_FORMAT
              " own_change=%" G_GINT64_FORMAT,
-             syn_names[kind], vm->name, vm->changes[kind], feed->change);
+             syn_names[kind], vm->name, vm->changes[kind], feed->news.change);
     syn_fetch(syn, kind, vm->peer_address, now_us);
     return true;
 }
@@ -617,26 +445,21 @@
 
 void
 syn_on_offer(struct syn *syn, enum mem_kind kind,
-             const struct syn_reply *reply, int64_t now_us)
+             const struct fed_reply *reply, int64_t now_us)
 {
     struct syn_feed *feed = &syn->feeds[kind];
-    if (reply->change <= feed->change) {
+    if (reply->change <= feed->news.change) {
         return;
     }
-    syn_end_list(feed);
-    syn_begin_list(feed);
-    int64_t change = syn_on_objects(syn, kind, reply, now_us);
-    feed->change = MAX(feed->change, change);
-    (void)syn_remove_unlisted(syn, kind, reply->change, now_us);
-    syn_end_list(feed);
-    feed->has_list = true;
+    struct syn_sink sink = {.syn = syn, .kind = kind, .now_us = now_us};
+    fed_take_whole(&feed->news, reply, syn_on_object, &sink);
 }
 
 void
 syn_changes(const struct syn *syn, int64_t *out)
 {
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        out[i] = syn->feeds[i].change;
+        out[i] = syn->feeds[i].news.change;
     }
 }
 
@@ -644,22 +467,22 @@
 syn_ages(const struct syn *syn, int64_t now_us, int64_t *out)
 {
     for (int i = 0; i < MEM_KIND_COUNT; i++) {
-        out[i] =
-            syn->feeds[i].has_list ? syn_age_us(syn, i, now_us) : MEM_AGE_NONE;
+        out[i] = syn->feeds[i].news.has_list ? syn_age_us(syn, i, now_us)
+                                             : MEM_AGE_NONE;
     }
 }
 
 bool
 syn_is_stale(const struct syn *syn, int64_t age_us, int64_t now_us)
 {
-    return !syn->feeds[MEM_CONFIG].has_list ||
+    return !syn->feeds[MEM_CONFIG].news.has_list ||
            syn_age_us(syn, MEM_CONFIG, now_us) >= age_us;
 }
 
 int64_t
 syn_age_us(const struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
-    return now_us - MAX(syn->feeds[kind].checked_us, syn->started_us);
+    return now_us - MAX(syn->feeds[kind].news.checked_us, syn->started_us);
 }
 
 const char *
@@ -674,8 +497,8 @@
     return syn_call_names[call];
 }
 
-const struct syn_feed *
-syn_feed_of(const struct syn *syn, enum mem_kind kind)
+const struct fed *
+syn_news_of(const struct syn *syn, enum mem_kind kind)
 {
-    return &syn->feeds[kind];
+    return &syn->feeds[kind].news;
 }
--- /dev/null
+++ b/include/gateway/feed.h
@@ -0,0 +1,103 @@
+#ifndef CH_GATEWAY_FEED_H
+#define CH_GATEWAY_FEED_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * The objects of one kind as far as they are known: takes over lists, watches
+ * and what peers tell, and says what has changed, how new all of it is and
+ * what has gone. Does no I/O.
+ */
+
+/* One object, or the news that it is gone. */
+struct fed_object {
+    const char *name;
+    int64_t revision; /* of its last change */
+    bool is_deleted;
+    json_t *spec; /* NULL when deleted */
+};
+
+/* A reply to a list or a watch. */
+struct fed_reply {
+    /* RC_OK; RC_VERSION_GONE when the watched history is gone; else the store
+     * gave no usable reply. */
+    int rc;
+    const struct fed_object *objects;
+    size_t object_count;
+    bool has_more; /* a list goes on after its last object */
+    bool is_delta; /* only what changed, as with a watch */
+    bool is_whole; /* a list, also as the answer to a watch */
+    int64_t current_revision;
+    int64_t change; /* newest change that it shows, 0: current_revision */
+};
+
+struct fed_known {
+    int64_t revision;
+    json_t *spec;
+};
+
+/* An object that is gone. */
+struct fed_removed {
+    char *name;
+    int64_t change; /* store revision at which its end was known */
+};
+
+/* Who gave a reply, and to what. */
+enum fed_source {
+    FED_LIST,
+    FED_WATCH,
+    FED_PEER, /* another VM, with what it knows */
+};
+
+/* What a reply was. */
+enum fed_result {
+    FED_PAGE,    /* of a list that goes on */
+    FED_WHOLE,   /* the end of a list */
+    FED_DELTA,   /* what a peer knew to have changed */
+    FED_CHANGED, /* a watch with changes */
+    FED_SAME,    /* a watch without one */
+};
+
+/* A changed object. */
+typedef void (*fed_object_cb)(const struct fed_object *object, void *ctx);
+
+struct fed {
+    GQueue removed;     /* of struct fed_removed, latest last */
+    int64_t floor;      /* ends of objects up to this change are not kept */
+    GHashTable *known;  /* name -> struct fed_known */
+    GHashTable *listed; /* names of a list under way */
+    char *after;
+    int64_t list_revision; /* of that list's first page, 0: not read */
+    int64_t list_us;       /* when that page was read */
+    int64_t list_change;   /* newest change of its objects */
+    bool has_list;         /* a whole list was read */
+    bool must_list;        /* a watch would miss changes */
+    int64_t revision;      /* to watch from */
+    int64_t change;        /* newest change known */
+    int64_t checked_us;    /* up to when all changes are known */
+};
+
+/* Ends of objects that are kept for peers. */
+#define FED_REMOVED_MAX 512
+
+void fed_init(struct fed *feed);
+
+void fed_clear(struct fed *feed);
+
+/* A list that is under way is given up. */
+void fed_end_list(struct fed *feed);
+
+/* Takes over a usable reply and calls back for each object that changed. */
+enum fed_result fed_take(struct fed *feed, enum fed_source source,
+                         const struct fed_reply *reply, int64_t now_us,
+                         fed_object_cb on_object, void *ctx);
+
+/* Takes over all of the kind as of `reply->change`, whoever gave it. */
+void fed_take_whole(struct fed *feed, const struct fed_reply *reply,
+                    fed_object_cb on_object, void *ctx);
+
+#endif
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -1,11 +1,10 @@
 #ifndef CH_GATEWAY_SYNC_H
 #define CH_GATEWAY_SYNC_H
 
-#include <glib.h>
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/feed.h"
 #include "gateway/member.h"
 
 /*
@@ -19,28 +18,6 @@
  * itself.
  */
 
-/* One object, or the news that it is gone. */
-struct syn_object {
-    const char *name;
-    int64_t revision; /* of its last change */
-    bool is_deleted;
-    json_t *spec; /* NULL when deleted */
-};
-
-/* A reply to a list or a watch. */
-struct syn_reply {
-    /* RC_OK; RC_VERSION_GONE when the watched history is gone; else the store
-     * gave no usable reply. */
-    int rc;
-    const struct syn_object *objects;
-    size_t object_count;
-    bool has_more; /* a list goes on after its last object */
-    bool is_delta; /* only what changed, as with a watch */
-    bool is_whole; /* a list, also as the answer to a watch */
-    int64_t current_revision;
-    int64_t change; /* newest change that it shows, 0: current_revision */
-};
-
 /* What to fetch. */
 struct syn_fetch {
     enum mem_kind kind;
@@ -56,45 +33,22 @@
 struct syn_calls {
     void (*fetch)(const struct syn_fetch *fetch, void *ctx);
     /* A changed object; `remove_us` is when a deletion takes effect. */
-    void (*apply)(enum mem_kind kind, const struct syn_object *object,
+    void (*apply)(enum mem_kind kind, const struct fed_object *object,
                   int64_t remove_us, int64_t now_us, void *ctx);
 };
 
-struct syn_known {
-    int64_t revision;
-    json_t *spec;
-};
-
-/* An object that is gone. */
-struct syn_removed {
-    char *name;
-    int64_t change; /* store revision at which its end was known */
-};
-
 struct syn_feed {
-    GQueue removed;     /* of struct syn_removed, latest last */
-    int64_t floor;      /* ends of objects up to this change are not kept */
-    GHashTable *known;  /* name -> struct syn_known */
-    GHashTable *listed; /* names of a list under way */
-    char *after;
-    int64_t list_revision; /* of that list's first page, 0: not read */
-    int64_t list_us;       /* when that page was read */
-    int64_t list_change;   /* newest change of its objects */
-    bool has_list;         /* a whole list was read */
-    bool is_in_flight;     /* a fetch is not answered */
-    bool is_from_peer;     /* and goes to a peer */
-    bool is_watch;         /* or is a watch */
-    uint32_t serial;       /* of that fetch */
-    bool must_list;
-    int64_t revision;    /* to watch from */
-    int64_t change;      /* newest change known */
+    struct fed news;
+    bool is_in_flight; /* a fetch is not answered */
+    bool is_from_peer; /* and goes to a peer */
+    bool is_watch;     /* or is a watch */
+    uint32_t serial;   /* of that fetch */
+    int64_t sent_us;
+    int64_t wait_us;     /* that the watch asked for */
     int64_t due_us;      /* when to fetch next */
     int64_t peer_due_us; /* when a peer may be asked next */
-    int64_t sent_us;
-    int64_t wait_us;    /* that the watch asked for */
-    int64_t checked_us; /* up to when all changes are known */
-    bool is_covered;    /* a VM before this one in rank follows the store */
-    int64_t noted_us;   /* age at which the news were last logged as old */
+    bool is_covered;     /* a VM before this one in rank follows the store */
+    int64_t noted_us;    /* age at which the news were last logged as old */
 };
 
 /* Calls that were given up without an answer. */
@@ -161,8 +115,6 @@
 /* Failing for this long is an outage, in which entries lapse. */
 #define SYN_OUTAGE_US (500 * 1000)
 
-/* Ends of objects that are kept for peers. */
-#define SYN_REMOVED_MAX 512
 /* A VM that leaves following the store to hubs asks them at most this often.
  */
 #define SYN_FOLLOW_IVL_US (500 * 1000)
@@ -182,14 +134,14 @@
 
 /* The reply to a fetch; one with another serial than the last is dropped. */
 void syn_on_reply(struct syn *syn, const struct syn_fetch *fetch,
-                  const struct syn_reply *reply, int64_t now_us);
+                  const struct fed_reply *reply, int64_t now_us);
 
 /*
  * An operator hands over the whole of a kind as of `reply->change`. It is
  * taken if it is newer than what is known; the store is followed as before.
  */
 void syn_on_offer(struct syn *syn, enum mem_kind kind,
-                  const struct syn_reply *reply, int64_t now_us);
+                  const struct fed_reply *reply, int64_t now_us);
 
 /* The newest changes known, one for each kind. */
 void syn_changes(const struct syn *syn, int64_t *out);
@@ -208,6 +160,6 @@
 const char *syn_call_name(enum syn_call call);
 
 /* What is known of a kind, for a peer. */
-const struct syn_feed *syn_feed_of(const struct syn *syn, enum mem_kind kind);
+const struct fed *syn_news_of(const struct syn *syn, enum mem_kind kind);
 
 #endif
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -16,8 +16,8 @@
 
 /* A decoded reply of the store and the memory that it points to. */
 struct wir_objects {
-    struct syn_reply reply;
-    GArray *objects; /* of struct syn_object */
+    struct fed_reply reply;
+    GArray *objects; /* of struct fed_object */
     json_t *root;
     json_t *kept; /* names and specs that were made, NULL for none */
 };
@@ -70,8 +70,8 @@
 
     /* Return RC_OK, RC_INVALID with a log line that says what is wrong, or
      * RC_NOT_FOUND for an object that is not of concern. */
-    int (*read_config)(const struct syn_object *object, struct gcf **out);
-    int (*read_backend)(const struct syn_object *object,
+    int (*read_config)(const struct fed_object *object, struct gcf **out);
+    int (*read_backend)(const struct fed_object *object,
                         struct bke_entry *out);
 
     /* Paths and bodies of the VMs' own objects; free with g_free. */
@@ -82,7 +82,7 @@
     char *(*vms_lost_path)(const char *name, int64_t revision);
     char *(*write_vm)(const struct wir_vm *vm);
     /* Returns RC_OK or RC_INVALID. */
-    int (*read_vm)(const struct syn_object *object, struct wir_vm *out);
+    int (*read_vm)(const struct fed_object *object, struct wir_vm *out);
 
     /* Paths and body of the roster, `news` is as of nws_write(); free with
      * g_free. NULL: entries do not lapse. */
--- a/include/native/native.h
+++ b/include/native/native.h
@@ -15,8 +15,8 @@
 #define NTV_ORDER_HOST "order"
 
 /* The document and what is in it (document.c). */
-int ntv_read_config(const struct syn_object *object, struct gcf **out);
-int ntv_read_backend(const struct syn_object *object, struct bke_entry *out);
+int ntv_read_config(const struct fed_object *object, struct gcf **out);
+int ntv_read_backend(const struct fed_object *object, struct bke_entry *out);
 
 /* Appends the objects of the kind that a document holds; what they point to is
  * kept in `out`. `revision` receives the document's own. */
@@ -32,7 +32,7 @@
 char *ntv_vms_list_path(void);
 char *ntv_vms_lost_path(const char *name, int64_t revision);
 char *ntv_write_vm(const struct wir_vm *vm);
-int ntv_read_vm(const struct syn_object *object, struct wir_vm *out);
+int ntv_read_vm(const struct fed_object *object, struct wir_vm *out);
 
 /* Backend servers (backend.c). */
 GString *ntv_write_request(const struct bke *backend,
--- a/include/platform/platform.h
+++ b/include/platform/platform.h
@@ -13,13 +13,13 @@
 void plt_read_objects(const struct syn_fetch *fetch, int status,
                       const char *body, size_t body_bytes,
                       struct wir_objects *out);
-int plt_read_config(const struct syn_object *object, struct gcf **out);
-int plt_read_backend(const struct syn_object *object, struct bke_entry *out);
+int plt_read_config(const struct fed_object *object, struct gcf **out);
+int plt_read_backend(const struct fed_object *object, struct bke_entry *out);
 char *plt_vms_path(const char *name);
 char *plt_vms_stale_path(void);
 char *plt_vms_lost_path(const char *name, int64_t revision);
 char *plt_write_vm(const struct wir_vm *vm);
-int plt_read_vm(const struct syn_object *object, struct wir_vm *out);
+int plt_read_vm(const struct fed_object *object, struct wir_vm *out);
 char *plt_roster_path(bool is_create);
 char *plt_roster_stale_path(void);
 char *plt_write_roster(const char *news);
--- a/native/document.c
+++ b/native/document.c
@@ -78,7 +78,7 @@
 }
 
 int
-ntv_read_config(const struct syn_object *object, struct gcf **out)
+ntv_read_config(const struct fed_object *object, struct gcf **out)
 {
     struct cfg *declared = ntv_parse(object->spec);
     if (declared == NULL) {
@@ -109,7 +109,7 @@
     json_object_set_new(out->kept, name, spec);
     /* The name is that of the entry, which lives as long. */
     void *entry = json_object_iter_at(out->kept, name);
-    struct syn_object object = {
+    struct fed_object object = {
         .name = json_object_iter_key(entry),
         .revision = revision,
         .spec = json_object_iter_value(entry),
@@ -171,7 +171,7 @@
     if (document == NULL) {
         return;
     }
-    struct syn_object whole = {
+    struct fed_object whole = {
         .name = "current",
         .revision = *revision,
         .spec = document,
@@ -197,7 +197,7 @@
 }
 
 int
-ntv_read_backend(const struct syn_object *object, struct bke_entry *out)
+ntv_read_backend(const struct fed_object *object, struct bke_entry *out)
 {
     const json_t *spec = object->spec;
     const char *state = json_string_value(json_object_get(spec, "state"));
--- a/native/objects.c
+++ b/native/objects.c
@@ -47,7 +47,7 @@
     json_t *item = NULL;
     json_array_foreach(items, i, item)
     {
-        struct syn_object object = {
+        struct fed_object object = {
             .name = json_string_value(json_object_get(item, "name")),
             .revision = json_integer_value(json_object_get(item, "version")),
             .spec = json_object_get(item, "value"),
@@ -74,8 +74,8 @@
                  body_bytes);
         return;
     }
-    out->objects = g_array_new(FALSE, FALSE, sizeof(struct syn_object));
-    out->reply = (struct syn_reply){
+    out->objects = g_array_new(FALSE, FALSE, sizeof(struct fed_object));
+    out->reply = (struct fed_reply){
         .rc = RC_OK,
         .is_whole = true,
         .current_revision = json_integer_value(version),
@@ -87,7 +87,7 @@
         ntv_expand(fetch->kind, ntv_find_value(items, NTV_DOCUMENT_NAME), out,
                    &out->reply.change);
     }
-    out->reply.objects = (const struct syn_object *)out->objects->data;
+    out->reply.objects = (const struct fed_object *)out->objects->data;
     out->reply.object_count = out->objects->len;
 }
 
@@ -126,7 +126,7 @@
 }
 
 int
-ntv_read_vm(const struct syn_object *object, struct wir_vm *out)
+ntv_read_vm(const struct fed_object *object, struct wir_vm *out)
 {
     *out = (struct wir_vm){
         .name = object->name,
--- a/native/operator.c
+++ b/native/operator.c
@@ -132,8 +132,8 @@
 static uint64_t
 operator_digest(const struct app *app)
 {
-    const struct syn_known *known = g_hash_table_lookup(
-        syn_feed_of(&app->syn, MEM_CONFIG)->known, "current");
+    const struct fed_known *known = g_hash_table_lookup(
+        syn_news_of(&app->syn, MEM_CONFIG)->known, "current");
     char *text = known != NULL
                      ? json_dumps(known->spec, JSON_COMPACT | JSON_SORT_KEYS)
                      : NULL;
@@ -169,12 +169,12 @@
 {
     for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
         struct wir_objects objects = {
-            .objects = g_array_new(FALSE, FALSE, sizeof(struct syn_object)),
+            .objects = g_array_new(FALSE, FALSE, sizeof(struct fed_object)),
             .reply = {.rc = RC_OK, .is_whole = true},
         };
         app->wire->expand(kind, document, &objects, &objects.reply.change);
         objects.reply.objects =
-            (const struct syn_object *)objects.objects->data;
+            (const struct fed_object *)objects.objects->data;
         objects.reply.object_count = objects.objects->len;
         syn_on_offer(&app->syn, kind, &objects.reply, now_us);
         wir_objects_clear(&objects);
--- a/tests/gateway/test_follow.c
+++ b/tests/gateway/test_follow.c
@@ -119,7 +119,7 @@
 }
 
 static void
-vm_apply(enum mem_kind kind, const struct syn_object *object,
+vm_apply(enum mem_kind kind, const struct fed_object *object,
          int64_t remove_us, int64_t now_us, void *ctx)
 {
     struct vm *vm = ctx;
@@ -162,7 +162,7 @@
     if (fleet->now_us < vm->refused_us) {
         call->state = CALL_NONE;
         syn_on_reply(&vm->syn, &fetch,
-                     &(struct syn_reply){.rc = RC_STORE_DOWN}, fleet->now_us);
+                     &(struct fed_reply){.rc = RC_STORE_DOWN}, fleet->now_us);
         return;
     }
     if (!store_answers(fleet, call)) {
@@ -172,13 +172,13 @@
         return;
     }
     call->state = CALL_NONE;
-    struct syn_object object = {
+    struct fed_object object = {
         .name = OBJECT_NAME,
         .revision = fleet->revisions[fetch.kind],
         .spec = json_true(),
     };
     bool is_shown = !fetch.is_watch || object.revision > fetch.revision;
-    struct syn_reply reply = {
+    struct fed_reply reply = {
         .rc = RC_OK,
         .objects = &object,
         .object_count = is_shown ? 1 : 0,
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -321,7 +321,7 @@
 }
 
 static void
-fake_apply(enum mem_kind kind, const struct syn_object *object,
+fake_apply(enum mem_kind kind, const struct fed_object *object,
            int64_t remove_us, int64_t now_us, void *ctx)
 {
     struct module_test *test = ctx;
@@ -379,7 +379,7 @@
     struct module_test *test = ctx;
     test->out = out;
     enum mem_kind kind = kind_of(argv[2]);
-    struct syn_object objects[8];
+    struct fed_object objects[8];
     char *names[8];
     size_t count = 0;
     bool has_more = false;
@@ -396,7 +396,7 @@
         bool is_deleted = argv[i][0] == '-';
         char **pair = g_strsplit(argv[i] + is_deleted, "@", 2);
         names[count] = g_strdup(pair[0]);
-        objects[count] = (struct syn_object){
+        objects[count] = (struct fed_object){
             .name = names[count],
             .revision = g_ascii_strtoll(pair[1], NULL, 10),
             .is_deleted = is_deleted,
@@ -405,7 +405,7 @@
         count += 1;
         g_strfreev(pair);
     }
-    struct syn_reply reply = {
+    struct fed_reply reply = {
         .rc = rc_from_name(argv[3]),
         .objects = objects,
         .object_count = count,
--- a/tests/native/test_native.c
+++ b/tests/native/test_native.c
@@ -333,7 +333,7 @@
         rc_name(objects.reply.rc), objects.reply.is_whole,
         objects.reply.change, objects.reply.current_revision);
     for (size_t i = 0; i < objects.reply.object_count; i++) {
-        const struct syn_object *object = &objects.reply.objects[i];
+        const struct fed_object *object = &objects.reply.objects[i];
         g_string_append_printf(out, "%s@%" PRId64, object->name,
                                object->revision);
         struct bke_entry entry;
@@ -359,7 +359,7 @@
                      strlen(argv[2]), &objects);
     g_string_append(out, rc_name(objects.reply.rc));
     for (size_t i = 0; i < objects.reply.object_count; i++) {
-        const struct syn_object *object = &objects.reply.objects[i];
+        const struct fed_object *object = &objects.reply.objects[i];
         struct wir_vm vm;
         int rc = ntv_read_vm(object, &vm);
         g_string_append_printf(out, " %s@%" PRId64 "=%s", object->name,
@@ -374,7 +374,7 @@
 run_route(void *ctx, int argc, char **argv, GString *out)
 {
     struct native_test *test = ctx;
-    struct syn_object object = {.name = "current", .spec = test->document};
+    struct fed_object object = {.name = "current", .spec = test->document};
     gcf_unref(test->config);
     test->config = NULL;
     if (ntv_read_config(&object, &test->config) != RC_OK) {
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -35,7 +35,7 @@
                      strlen(argv[3]), &objects);
     g_string_append_printf(out, "%s", rc_name(objects.reply.rc));
     for (size_t i = 0; i < objects.reply.object_count; i++) {
-        const struct syn_object *object = &objects.reply.objects[i];
+        const struct fed_object *object = &objects.reply.objects[i];
         g_string_append_printf(out, " %s%s@%" PRId64,
                                object->is_deleted ? "-" : "", object->name,
                                object->revision);
@@ -73,7 +73,7 @@
 run_backend(void *ctx, int argc, char **argv, GString *out)
 {
     json_t *spec = json_loads(argv[1], 0, NULL);
-    struct syn_object object = {.name = "b1", .spec = spec};
+    struct fed_object object = {.name = "b1", .spec = spec};
     struct bke_entry entry;
     if (plt_read_backend(&object, &entry) != RC_OK) {
         g_string_append(out, "invalid");
@@ -94,7 +94,7 @@
 run_config(void *ctx, int argc, char **argv, GString *out)
 {
     json_t *spec = json_loads(argv[1], 0, NULL);
-    struct syn_object object = {.name = "main", .spec = spec};
+    struct fed_object object = {.name = "main", .spec = spec};
     struct gcf *config = NULL;
     if (plt_read_config(&object, &config) != RC_OK) {
         g_string_append(out, "invalid");
@@ -121,7 +121,7 @@
 run_vm(void *ctx, int argc, char **argv, GString *out)
 {
     json_t *spec = json_loads(argv[1], 0, NULL);
-    struct syn_object object = {.name = "v1", .spec = spec};
+    struct fed_object object = {.name = "v1", .spec = spec};
     struct wir_vm vm;
     int rc = plt_read_vm(&object, &vm);
     g_string_append(out, rc == RC_OK ? vm.peer_address : "invalid");
