admit: a bound that callers who return cannot use half of still grows

Cause: a caller that was refused may use half of the bound of searches at a time, and the bound grew only while half of it was used. From about two on, one search at a time is allowed, which is not half, so that with none but returning callers the bound stayed low for good.

--- a/gateway/admit.c
+++ b/gateway/admit.c
@@ -140,8 +140,9 @@
 static void
 adm_grow(struct adm_class *class)
 {
-    /* A limit that is not used says nothing about what would be borne. */
-    if (class->running * 2 * ADM_MILLI >= class->limit_milli) {
+    /* A limit that is not used says nothing about what would be borne. Half of
+     * it is, where one more is above what callers that return may use. */
+    if ((class->running + 1) * 2 * ADM_MILLI >= class->limit_milli) {
         uint64_t step =
             ADM_MILLI * ADM_MILLI / ADM_GROWTH / class->limit_milli;
         class->limit_milli = MIN(class->limit_milli + step, ADM_LIMIT_MAX);
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -134,6 +134,25 @@
     adm_clear(&admit);
 }
 
+/* > grow LIMIT_MILLI COUNT: callers that return, one at a time, all in time.
+ */
+static void
+run_grow(void *ctx, int argc, char **argv, GString *out)
+{
+    struct adm admit;
+    adm_init(&admit);
+    struct adm_pool *pool = adm_pool_of(&admit, "s");
+    pool->in_time.limit_milli = (uint64_t)scr_number(argc, argv, 1);
+    const struct adm_request request = {.has_returned = true};
+    for (gint64 i = scr_number(argc, argv, 2); i > 0; i--) {
+        assert_int_equal(adm_judge(pool, &request, 0), ADM_TAKE);
+        adm_on_start(pool, false);
+        adm_on_end(pool, false, false, 0);
+    }
+    g_string_append_printf(out, "%" PRIu64, pool->in_time.limit_milli);
+    adm_clear(&admit);
+}
+
 /* > covered COVERAGE_PERMILLE MS...: when enough parts are there. */
 static void
 run_covered(void *ctx, int argc, char **argv, GString *out)
@@ -521,29 +540,18 @@
 }
 
 static const struct scr_command commands[] = {
-    {"roster", run_roster},
-    {"judge", run_judge},
-    {"covered", run_covered},
-    {"finish", run_finish},
-    {"share", run_share},
-    {"records", run_records},
-    {"mem-list", run_mem_list},
-    {"beat", run_beat},
-    {"mem", run_mem},
-    {"tick", run_tick},
-    {"reply", run_reply},
-    {"stale", run_stale},
-    {"age", run_age},
-    {"changes", run_changes},
-    {"reset", run_reset},
-    {"settings", run_settings},
-    {"news", run_news},
-    {"beats-to", run_beats_to},
-    {"must-reply", run_must_reply},
-    {"renewed", run_renewed},
-    {"lost", run_lost},
-    {"vouched", run_vouched},
-    {"vouch", run_vouch},
+    {"roster", run_roster},     {"judge", run_judge},
+    {"covered", run_covered},   {"grow", run_grow},
+    {"finish", run_finish},     {"share", run_share},
+    {"records", run_records},   {"mem-list", run_mem_list},
+    {"beat", run_beat},         {"mem", run_mem},
+    {"tick", run_tick},         {"reply", run_reply},
+    {"stale", run_stale},       {"age", run_age},
+    {"changes", run_changes},   {"reset", run_reset},
+    {"settings", run_settings}, {"news", run_news},
+    {"beats-to", run_beats_to}, {"must-reply", run_must_reply},
+    {"renewed", run_renewed},   {"lost", run_lost},
+    {"vouched", run_vouched},   {"vouch", run_vouch},
 };
 
 static void
