gateway: callers with a deadline of their own are not taken for late ones

Cause: on the users' platform all callers of a route begin with the same time, so that a nearer deadline tells what a caller has spent already. Callers of the product's own interface choose their deadline; one with 850 ms after one with 900 ms was taken to have spent 50 ms, and its objective and its place in the queue moved forward.

--- a/gateway/arrive.c
+++ b/gateway/arrive.c
@@ -59,7 +59,7 @@
     else if (!route->is_gather) {
         arrival.first_target = gtw_split(gtw, route);
     }
-    if (request->deadline_us < INT64_MAX) {
+    if (request->tells_spent && request->deadline_us < INT64_MAX) {
         int64_t wait_us = request->deadline_us - now_us;
         arrival.spent_us = gtw_spent_us(gtw, route, wait_us);
         arrival.has_returned = gtw_has_returned(gtw, route, wait_us);
--- a/gateway/caller_io.c
+++ b/gateway/caller_io.c
@@ -57,6 +57,7 @@
         .body = http->body,
         .body_bytes = http->body_bytes,
         .deadline_us = wait_us < INT64_MAX ? now_us + wait_us : INT64_MAX,
+        .tells_spent = true,
         .only_target = ASK_ALL_TARGETS,
         .on_answer = cio_on_answer,
         .ctx = cio,
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -36,6 +36,9 @@
     const void *body;
     size_t body_bytes;
     int64_t deadline_us; /* the caller waits no longer; INT64_MAX: not told */
+    /* Callers of a route all begin with the same time, so that a nearer
+     * deadline tells what this one has spent. */
+    bool tells_spent;
     int32_t only_target; /* index of the only target asked, or
                           * ASK_ALL_TARGETS */
     int32_t priority;    /* added to that of the route, 0 is served first */
--- a/tests/gateway/soak_core.c
+++ b/tests/gateway/soak_core.c
@@ -416,6 +416,7 @@
         .fields = "",
         .body = "",
         .deadline_us = ask->deadline_us,
+        .tells_spent = soak_one_in(soak, 2),
         .only_target = ASK_ALL_TARGETS,
         .priority = soak_below(soak, 3),
         .on_answer = soak_on_answer,
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -274,7 +274,7 @@
     test->gtw.is_config_stale = scr_number(argc, argv, 1) != 0;
 }
 
-/* > ask ID TARGET WAIT_MS [BODY_BYTES] */
+/* > ask ID TARGET WAIT_MS [BODY_BYTES [own]]: own: a deadline of its own. */
 static void
 run_ask(void *ctx, int argc, char **argv, GString *out)
 {
@@ -292,6 +292,7 @@
         .body = "",
         .body_bytes = argc > 4 ? (size_t)scr_number(argc, argv, 4) : 0,
         .deadline_us = test->now_us + scr_number(argc, argv, 3) * MS,
+        .tells_spent = argc <= 5,
         .only_target = ASK_ALL_TARGETS,
         .on_answer = fake_answer,
         .ctx = caller,
