gateway: no hedges for a service whose operators allow none

Cause: hedge_budget_permille: 0 of a service was read as "not set", so that the process's own share of extra sends was used for hedges.

--- a/gateway/part.c
+++ b/gateway/part.c
@@ -334,8 +334,8 @@
 {
     const struct ask *ask = part->ask;
     const struct att *last = prt_last_attempt(part);
-    if (!ask->route->is_idempotent || last == NULL || last->link == NULL ||
-        !prt_may_try(part)) {
+    if (!ask->route->is_idempotent || part->service->is_unhedged ||
+        last == NULL || last->link == NULL || !prt_may_try(part)) {
         return INT64_MAX;
     }
     struct hdg *hedge = &gtw_route(ask->gtw, ask->route)->hedge;
--- a/include/gateway/config.h
+++ b/include/gateway/config.h
@@ -19,6 +19,7 @@
         warmup_per_s; /* requests a cold backend server bears, 0: no bound */
     uint32_t extra_permille; /* extra sends of its requests, 0: as set for the
                               * process */
+    bool is_unhedged;        /* only failed requests are sent again */
 };
 
 /* A service and its share of a route's requests. */
--- a/native/document.c
+++ b/native/document.c
@@ -48,6 +48,7 @@
     set->warmup_us = service->cold_ramp_ms * 1000;
     set->warmup_per_s = (double)service->cold_per_s;
     set->extra_permille = (uint32_t)service->hedge_budget_permille;
+    set->is_unhedged = service->hedge_budget_permille == 0;
     gcf_add_service(out, set);
 }
 
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -135,7 +135,7 @@
     test->draft->limits.body_max_bytes = 1000;
 }
 
-/* > service NAME CONNECTIONS WARMUP_PER_S */
+/* > service NAME CONNECTIONS WARMUP_PER_S [unhedged] */
 static void
 run_service(void *ctx, int argc, char **argv, GString *out)
 {
@@ -144,6 +144,7 @@
     service->name = g_strdup(argv[1]);
     service->connections_max = (uint32_t)scr_number(argc, argv, 2);
     service->warmup_per_s = (double)scr_number(argc, argv, 3);
+    service->is_unhedged = argc > 4;
     gcf_add_service(test->draft, service);
 }
 
