gateway: idle connections of callers are closed after the configured time

Cause: the operators' limit for idle connections (idle_timeout of a configuration) was decoded and not read; connections were closed after 60 s whatever it said.

Change: the limit of the configuration in force is set on the server for callers. tests/common/test_gone.c guards against connections that are closed earlier, or stay for long after it.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -11,7 +11,8 @@
 #include "common/rc.h"
 
 #define HSV_BACKLOG 512
-/* Callers keep connections open between requests; h2o closes idle ones. */
+/* Callers keep connections open between requests; h2o closes idle ones after
+ * this time, if hsv_set_idle_timeout() does not say another one. */
 #define HSV_IDLE_TIMEOUT_MS (60ULL * 1000)
 
 /* How often connections with a waiting request are checked for their end. */
@@ -298,6 +299,13 @@
     hsv_respond_fields(request, status, &field, 1, body, body_bytes);
 }
 
+void
+hsv_set_idle_timeout(struct hsv_server *server, uint64_t timeout_ms)
+{
+    server->config.http1.req_timeout = timeout_ms;
+    server->context.http1.req_timeout.timeout = timeout_ms;
+}
+
 void
 hsv_set_gone_check(struct hsv_server *server, uint64_t interval_ms)
 {
--- a/gateway/front_io.c
+++ b/gateway/front_io.c
@@ -51,6 +51,16 @@
     return rc != RC_OK ? rc : fio_open_metrics(app, fio);
 }
 
+static void
+fio_on_config(struct app *app, int64_t now_us)
+{
+    const struct fio *fio = app->front_ctx;
+    int64_t idle_us = app->gtw.config->limits.idle_timeout_us;
+    if (idle_us > 0) {
+        hsv_set_idle_timeout(fio->requests, (uint64_t)idle_us / 1000);
+    }
+}
+
 static bool
 fio_is_busy(const struct app *app)
 {
@@ -79,6 +89,7 @@
 
 const struct app_front fio_front = {
     .open = fio_open,
+    .on_config = fio_on_config,
     .is_busy = fio_is_busy,
     .drain = fio_drain,
     .stop = fio_stop,
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -61,6 +61,9 @@
                         const struct http_field *fields, size_t field_count,
                         const void *body, size_t body_bytes);
 
+/* How long a connection may stay without a request before it is closed. */
+void hsv_set_idle_timeout(struct hsv_server *server, uint64_t timeout_ms);
+
 /* How often waiting requests are checked for a caller that left (20 ms). */
 void hsv_set_gone_check(struct hsv_server *server, uint64_t interval_ms);
 
--- a/include/gateway/config.h
+++ b/include/gateway/config.h
@@ -50,7 +50,7 @@
 
 struct gcf_limits {
     uint64_t body_max_bytes;
-    int64_t idle_timeout_us;
+    int64_t idle_timeout_us; /* of callers' connections, 0: not told */
 };
 
 struct gcf {
--- a/tests/common/test_gone.c
+++ b/tests/common/test_gone.c
@@ -13,6 +13,7 @@
 #include "common/rc.h"
 
 #define ADDRESS "127.0.0.1:32690"
+#define IDLE_ADDRESS "127.0.0.1:32691"
 #define TEXT "GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 
 struct gone_test {
@@ -88,11 +89,48 @@
     assert_int_equal(test.gone_count, 1);
 }
 
+static void
+run_for(struct gone_test *test, uint64_t ms)
+{
+    uv_timer_start(&test->timer, on_timeout, ms, 0);
+    uv_run(&test->loop, UV_RUN_DEFAULT);
+}
+
+/*
+ * Guards against callers' connections that are closed earlier than the limit
+ * of a new configuration says, or stay for long after it.
+ */
+static void
+test_idle(void **state)
+{
+    static struct gone_test test;
+    struct hsv_server *server = NULL;
+    struct sockaddr_in address;
+    uv_loop_init(&test.loop);
+    uv_timer_init(&test.loop, &test.timer);
+    assert_int_equal(
+        hsv_open(&test.loop, IDLE_ADDRESS, 1024, on_request, &test, &server),
+        RC_OK);
+    hsv_set_idle_timeout(server, 300);
+    assert_int_equal(net_parse(IDLE_ADDRESS, &address), RC_OK);
+    test.client = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(
+        connect(test.client, (struct sockaddr *)&address, sizeof(address)), 0);
+    assert_int_equal(write(test.client, TEXT, strlen(TEXT)), strlen(TEXT));
+    run_for(&test, 200);
+    assert_int_equal(test.answered_count, 1);
+    assert_int_equal(hsv_connection_count(server), 1);
+    run_for(&test, 2000);
+    assert_int_equal(hsv_connection_count(server), 0);
+    close(test.client);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_gone),
+        cmocka_unit_test(test_idle),
     };
     return cmocka_run_group_tests_name("gone", tests, NULL, NULL);
 }
