gateway: count idle links that are closed for a request that was not answered

A connection to a backend server may go silent together with others. Closing the idle ones was not counted; gateway_links_lost{silent} counts them, so that on-call engineers see silent links in the metrics.

--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -361,17 +361,20 @@
     backend->avoid_us = now_us + MIN(avoid_us, BKE_AVOID_MAX_US);
 }
 
-void
+uint32_t
 bke_on_overdue(struct bke_set *set, struct bke *backend, int64_t sent_us,
                int64_t now_us)
 {
+    uint32_t count = 0;
     bke_on_failure(backend, now_us);
     for (guint i = backend->links->len; i > 0; i--) {
         struct bke_link *link = g_ptr_array_index(backend->links, i - 1);
         if (link->state == BKE_IDLE && link->since_us < sent_us) {
             bke_drop_link(set, link);
+            count += 1;
         }
     }
+    return count;
 }
 
 void
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -363,8 +363,10 @@
             continue;
         }
         att->is_overdue = true;
-        bke_on_overdue(&part->ask->gtw->backends, att->backend,
-                       att->started_us, now_us);
+        struct gtw *gtw = part->ask->gtw;
+        *cnt_get(gtw->counters, "gateway_links_lost", "silent") +=
+            bke_on_overdue(&gtw->backends, att->backend, att->started_us,
+                           now_us);
     }
     return due_us;
 }
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -169,10 +169,10 @@
 /*
  * A request sent at `sent_us` is not answered in time. Its connection may have
  * gone silent together with others: those that are idle since before are
- * closed.
+ * closed. Returns how many.
  */
-void bke_on_overdue(struct bke_set *set, struct bke *backend, int64_t sent_us,
-                    int64_t now_us);
+uint32_t bke_on_overdue(struct bke_set *set, struct bke *backend,
+                        int64_t sent_us, int64_t now_us);
 
 /* The backend server refused a request because it is full. */
 void bke_on_shed(struct bke *backend, int64_t now_us);
