--- a/gateway/config.c
+++ b/gateway/config.c
@@ -7,7 +7,6 @@
 {
     struct gcf_service *service = data;
     g_free(service->name);
-    g_free(service->health_path);
     g_free(service);
 }
 
--- a/include/gateway/config.h
+++ b/include/gateway/config.h
@@ -12,7 +12,6 @@
 
 struct gcf_service {
     char *name;
-    char *health_path;
     uint32_t connections_max; /* of one backend server, all VMs together */
     int64_t warmup_us;
     double
