sync: the first VM tells the age of its news once a second, after a change too

Cause: the first VM in rank pauses for 500 ms after a change and then had its watch wait for 1 s, so that with a heartbeat in between others heard of it after 2.1 s; they check after 2 s.

Change: a short watch waits for what is left of 1 s since the news were checked last, 200 ms at least.

--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -40,15 +40,20 @@
 }
 
 /* How long the store may wait for a change before it answers a watch: not at
- * all when the answer is to show that nothing was missed. */
+ * all when the answer is to show that nothing was missed, and no longer than
+ * until the news have a certain age when other VMs rely on them. */
 static int64_t
 syn_wait_ms(const struct syn *syn, enum mem_kind kind, int64_t now_us)
 {
     if (syn_is_old(syn, kind, now_us)) {
         return 0;
     }
-    return syn->feeds[kind].is_covered ? SYN_WATCH_WAIT_MS
-                                       : SYN_WATCH_SHORT_MS;
+    if (syn->feeds[kind].is_covered) {
+        return SYN_WATCH_WAIT_MS;
+    }
+    int64_t left_ms =
+        SYN_WATCH_SHORT_MS - syn_age_us(syn, kind, now_us) / 1000;
+    return MAX(left_ms, SYN_WATCH_MIN_MS);
 }
 
 static void
--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -78,8 +78,11 @@
  * costs one call. */
 #define SYN_WATCH_IVL_US (500 * 1000)
 #define SYN_WATCH_WAIT_MS 25000
-/* The same for a VM that none before it in rank tells how new its news are. */
+/* A VM that none before it in rank tells how new its news are has the store
+ * answer its watches when its news have this age, after the shorter wait at
+ * the earliest. */
 #define SYN_WATCH_SHORT_MS 1000
+#define SYN_WATCH_MIN_MS 200
 /* Without a reply for this long beyond its wait a watch has failed. */
 #define SYN_WATCH_TIMEOUT_US (1000 * 1000)
 /* Older news are checked with the store. A short watch and a lost heartbeat
