sync: watches overlap, so that a store that drops its history hides nothing

Cause: before a store drops its history, watches hear of nothing for a second. The first VM in rank now has its watches answered once a second; an answer in that second shows no change and a revision after it, and the next watch began there. When the history was gone the watch was still valid, and the change stayed unknown until the next list, at this VM, and at others if they ask it.

Change: after an answer without changes the next watch begins where the one before ended, if that is less than 10 s old (the store keeps 20 s). Such a watch shows the change, or that its history is gone, and then the kind is listed.

--- a/gateway/feed.c
+++ b/gateway/feed.c
@@ -155,6 +155,24 @@
     feed->checked_us = MAX(feed->checked_us, feed->list_us);
     feed->must_list = false;
     feed->revision = feed->list_revision;
+    feed->seen_revision = feed->list_revision;
+    feed->seen_us = feed->list_us;
+}
+
+/*
+ * The next watch begins where this one ended if it had changes, else where the
+ * one before it ended: a store that drops its history tells watches nothing
+ * for a second before, and its answer then must not pass over what changed.
+ */
+static void
+fed_end_watch(struct fed *feed, const struct fed_reply *reply, int64_t now_us)
+{
+    int64_t seen = MAX(feed->seen_revision, reply->current_revision);
+    bool overlaps = reply->object_count == 0 &&
+                    now_us - feed->seen_us < FED_OVERLAP_MAX_US;
+    feed->revision = overlaps ? feed->seen_revision : seen;
+    feed->seen_revision = seen;
+    feed->seen_us = now_us;
 }
 
 static enum fed_result
@@ -214,7 +232,7 @@
         fed_end_list(feed);
         return FED_DELTA;
     }
-    feed->revision = MAX(feed->revision, reply->current_revision);
+    fed_end_watch(feed, reply, now_us);
     return reply->object_count > 0 ? FED_CHANGED : FED_SAME;
 }
 
--- a/include/gateway/feed.h
+++ b/include/gateway/feed.h
@@ -77,10 +77,15 @@
     bool has_list;         /* a whole list was read */
     bool must_list;        /* a watch would miss changes */
     int64_t revision;      /* to watch from */
+    int64_t seen_revision; /* the store's, in the last answer */
+    int64_t seen_us;       /* when that was */
     int64_t change;        /* newest change known */
     int64_t checked_us;    /* up to when all changes are known */
 };
 
+/* Watches overlap unless the last answer is older: the store keeps its history
+ * for 20 s. */
+#define FED_OVERLAP_MAX_US (10LL * 1000 * 1000)
 /* Ends of objects that are kept for peers. */
 #define FED_REMOVED_MAX 512
 
--- a/tests/gateway/test_follow.c
+++ b/tests/gateway/test_follow.c
@@ -62,8 +62,10 @@
     int64_t now_us;
     int64_t silent_us;  /* the store answers nothing until then */
     int64_t deaf_us;    /* the store keeps no watch until then */
+    int64_t gap_us;     /* watches hear of no change until then */
     int64_t changed_us; /* when `change` was played */
     int64_t revision;   /* of the store */
+    int64_t floor;      /* the history before is gone */
     int64_t revisions[MEM_KIND_COUNT]; /* of the objects */
     uint32_t loss_permille;            /* of heartbeats */
     uint32_t random;
@@ -147,22 +149,35 @@
 static bool
 store_answers(const struct fleet *fleet, const struct call *call)
 {
+    bool is_deaf = fleet->now_us < fleet->gap_us;
     if (!call->fetch.is_watch ||
-        fleet->revisions[call->fetch.kind] > call->fetch.revision) {
+        (!is_deaf &&
+         fleet->revisions[call->fetch.kind] > call->fetch.revision)) {
         return true;
     }
     return fleet->now_us - call->sent_us >= call->fetch.wait_ms * MS;
 }
 
+static void
+vm_fail_call(struct vm *vm, struct call *call, int rc)
+{
+    struct syn_fetch fetch = call->fetch;
+    call->state = CALL_NONE;
+    syn_on_reply(&vm->syn, &fetch, &(struct fed_reply){.rc = rc},
+                 vm->fleet->now_us);
+}
+
 static void
 vm_on_store(struct vm *vm, struct call *call)
 {
     struct fleet *fleet = vm->fleet;
     struct syn_fetch fetch = call->fetch;
     if (fleet->now_us < vm->refused_us) {
-        call->state = CALL_NONE;
-        syn_on_reply(&vm->syn, &fetch,
-                     &(struct fed_reply){.rc = RC_STORE_DOWN}, fleet->now_us);
+        vm_fail_call(vm, call, RC_STORE_DOWN);
+        return;
+    }
+    if (fetch.is_watch && fetch.revision < fleet->floor) {
+        vm_fail_call(vm, call, RC_VERSION_GONE);
         return;
     }
     if (!store_answers(fleet, call)) {
@@ -177,7 +192,8 @@
         .revision = fleet->revisions[fetch.kind],
         .spec = json_true(),
     };
-    bool is_shown = !fetch.is_watch || object.revision > fetch.revision;
+    bool is_shown = !fetch.is_watch || (object.revision > fetch.revision &&
+                                        fleet->now_us >= fleet->gap_us);
     struct fed_reply reply = {
         .rc = RC_OK,
         .objects = &object,
@@ -323,17 +339,13 @@
     *fleet = (struct fleet){.count = 0};
 }
 
-/* > vms COUNT [STRONG]: that run for 10 s; beyond STRONG they are weak. */
 static void
-run_vms(void *ctx, int argc, char **argv, GString *out)
+fleet_open(struct fleet *fleet, uint32_t count, uint32_t strong)
 {
-    struct fleet *fleet = ctx;
     fleet_clear(fleet);
-    fleet->count = (uint32_t)scr_number(argc, argv, 1);
+    fleet->count = count;
     fleet->now_us = START_US;
     fleet->revision = 10;
-    uint32_t strong =
-        argc > 2 ? (uint32_t)scr_number(argc, argv, 2) : fleet->count;
     for (uint32_t i = 0; i < fleet->count; i++) {
         struct vm *vm = &fleet->vms[i];
         vm->fleet = fleet;
@@ -352,6 +364,15 @@
     fleet_run(fleet, 10000LL * MS);
 }
 
+/* > vms COUNT [STRONG]: that run for 10 s; beyond STRONG they are weak. */
+static void
+run_vms(void *ctx, int argc, char **argv, GString *out)
+{
+    uint32_t count = (uint32_t)scr_number(argc, argv, 1);
+    uint32_t strong = argc > 2 ? (uint32_t)scr_number(argc, argv, 2) : count;
+    fleet_open(ctx, count, strong);
+}
+
 /* > run MS */
 static void
 run_run(void *ctx, int argc, char **argv, GString *out)
@@ -359,14 +380,20 @@
     fleet_run(ctx, scr_number(argc, argv, 1) * MS);
 }
 
+static void
+fleet_change(struct fleet *fleet, enum mem_kind kind)
+{
+    fleet->revision += 1;
+    fleet->revisions[kind] = fleet->revision;
+}
+
 /* > change KIND...: objects that the store takes now. */
 static void
 run_change(void *ctx, int argc, char **argv, GString *out)
 {
     struct fleet *fleet = ctx;
     for (int i = 1; i < argc; i++) {
-        fleet->revision += 1;
-        fleet->revisions[kind_of(argv[i])] = fleet->revision;
+        fleet_change(fleet, kind_of(argv[i]));
     }
     fleet->changed_us = fleet->now_us;
 }
@@ -396,6 +423,44 @@
     g_string_append(out, count == 0 ? "all" : "not");
 }
 
+/* The store drops its history: for a second before, watches hear of nothing.
+ */
+static void
+fleet_compact(struct fleet *fleet)
+{
+    fleet->gap_us = fleet->now_us + 1000 * MS;
+    fleet_run(fleet, 500 * MS);
+    fleet_change(fleet, MEM_BACKENDS);
+    fleet_run(fleet, 500 * MS);
+    fleet->floor = fleet->revision;
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        struct vm *vm = &fleet->vms[i];
+        for (int kind = 0; kind < MEM_KIND_COUNT; kind++) {
+            struct call *call = &vm->calls[kind];
+            if (call->state == CALL_OPEN && call->fetch.is_watch) {
+                vm_fail_call(vm, call, RC_STORE_DOWN);
+            }
+        }
+    }
+}
+
+/* > compact: one VM, with the moment moved over its watches; the moments after
+ * which it does not know within 2.5 s what changed meanwhile. */
+static void
+run_compact(void *ctx, int argc, char **argv, GString *out)
+{
+    struct fleet *fleet = ctx;
+    uint32_t missed_count = 0;
+    for (int64_t at_ms = 0; at_ms < 1200; at_ms += 10) {
+        fleet_open(fleet, 1, 1);
+        fleet_run(fleet, at_ms * MS);
+        fleet_compact(fleet);
+        fleet_run(fleet, 2500 * MS);
+        missed_count += vm_knows_all(&fleet->vms[0]) ? 0 : 1;
+    }
+    g_string_append_printf(out, "missed=%u", missed_count);
+}
+
 /* > silent MS: the store answers nothing, and later not what was open. */
 static void
 run_silent(void *ctx, int argc, char **argv, GString *out)
@@ -515,12 +580,19 @@
 }
 
 static const struct scr_command commands[] = {
-    {"vms", run_vms},       {"run", run_run},
-    {"change", run_change}, {"known", run_known},
-    {"silent", run_silent}, {"deaf", run_deaf},
-    {"lost", run_lost},     {"refuse-hubs", run_refuse_hubs},
-    {"refuse", run_refuse}, {"cut", run_cut},
-    {"freeze", run_freeze}, {"loss", run_loss},
+    {"vms", run_vms},
+    {"run", run_run},
+    {"change", run_change},
+    {"known", run_known},
+    {"silent", run_silent},
+    {"deaf", run_deaf},
+    {"lost", run_lost},
+    {"compact", run_compact},
+    {"refuse-hubs", run_refuse_hubs},
+    {"refuse", run_refuse},
+    {"cut", run_cut},
+    {"freeze", run_freeze},
+    {"loss", run_loss},
     {"calls", run_calls},
 };
 
