soak: a store that falls silent for all VMs

The fault soak silenced one VM's connections to the store at a time, which the heartbeats of the others make up for, and ended a silence with a reset, which tells the VM.

--- a/include/gateway/sync.h
+++ b/include/gateway/sync.h
@@ -108,11 +108,10 @@
 #define SYN_BACKOFF_MIN_US (200 * 1000)
 #define SYN_BACKOFF_MAX_US (1000 * 1000)
 #define SYN_FIRST_BACKOFF_MAX_US (250 * 1000)
+#define SYN_FOLLOWER_BACKOFF_MAX_US (4000 * 1000)
 /* While one kind finds out whether the store answers again, the others wait
  * for the end of its call. */
 #define SYN_OTHERS_WAIT_US (SYN_RETRY_TIMEOUT_US + SYN_BACKOFF_MIN_US)
-/* The same for a VM that leaves following the store to hubs. */
-#define SYN_FOLLOWER_BACKOFF_MAX_US (4000 * 1000)
 /* News of this age are logged as old, and again each time it has doubled. */
 #define SYN_OLD_US (4000 * 1000)
 /* Failing for this long is an outage, in which entries lapse. */
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -94,6 +94,28 @@
     flt_store_mode(sok, SST_OK, now_us);
 }
 
+/* Calls that wait are not answered, nor those that are made meanwhile. */
+static void
+flt_store_silent(struct sok *sok, int which, int64_t now_us)
+{
+    sok->is_store_silent = true;
+    for (int i = 0; i < SOK_VMS; i++) {
+        prx_set_mode(sok->vms[i].store_proxy, PRX_SILENT);
+    }
+}
+
+/* New calls are answered; the connections from before stay open and dead. */
+static void
+flt_store_heard(struct sok *sok, int which, int64_t now_us)
+{
+    sok->is_store_silent = false;
+    sok->store_disturbed_us = now_us;
+    for (int i = 0; i < SOK_VMS; i++) {
+        prx_set_mode(sok->vms[i].store_proxy, PRX_PASS);
+        prx_silence(sok->vms[i].store_proxy);
+    }
+}
+
 static void
 flt_compact(struct sok *sok, int which, int64_t now_us)
 {
@@ -260,6 +282,7 @@
     {"store busy", flt_store_busy, flt_store_ok, 1},
     {"store slow", flt_store_slow, flt_store_ok, 1},
     {"store loses answers", flt_store_lost, flt_store_ok, 1},
+    {"store silent", flt_store_silent, flt_store_heard, 1},
     {"store forgets", flt_compact, NULL, 1},
     {"store link silent", flt_link_silent, flt_link_ok, SOK_VMS},
     {"store link one way", flt_link_one_way, flt_link_ok, SOK_VMS},
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -67,6 +67,7 @@
 sok_is_calm(const struct sok *sok, const struct svm *vm, int64_t since_us)
 {
     return vm->is_running && !vm->is_paused && !vm->is_stopping &&
+           !sok->is_store_silent &&
            vm->disturbed_us < since_us - SOK_CALM_US &&
            sok->store_disturbed_us < since_us - SOK_CALM_US;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -158,7 +158,8 @@
     struct sst *store;
     struct ssr servers[SOK_SERVERS];
     struct svm vms[SOK_VMS];
-    int64_t store_disturbed_us;    /* last fault of the whole store */
+    int64_t store_disturbed_us; /* last fault of the whole store */
+    bool is_store_silent;
     int64_t version;               /* of the newest configuration */
     int64_t version_us;            /* when the store took it */
     int64_t evacuated_us[SOK_DCS]; /* since when, 0: not */
