gateway: a part whose attempt is overdue may use what hedges leave

A request on a silent connection is never refused or lost, so it is never retried; only a hedge can replace it.

--- a/gateway/part.c
+++ b/gateway/part.c
@@ -306,13 +306,18 @@
         cnt_add(gtw->counters, "gateway_hedges_refused", "no_backend");
         return;
     }
-    bool is_extra = prt_was_sent(part);
-    if (is_extra && !bgt_spend_spare(budget)) {
+    const struct att *first = prt_last_attempt(part);
+    bool has_token = !prt_was_sent(part);
+    if (!has_token) {
+        /* An overdue attempt has failed, and this one is in its place. */
+        has_token =
+            first->is_overdue ? bgt_spend(budget) : bgt_spend_spare(budget);
+    }
+    if (!has_token) {
         part->hedge_again_us = now_us + PRT_HEDGE_AGAIN_US;
         cnt_add(gtw->counters, "gateway_hedges_refused", "budget");
         return;
     }
-    const struct att *first = prt_last_attempt(part);
     log_step("request",
              "hedged id=%s service=%s backend=%s age_us=%" G_GINT64_FORMAT
              " to=%s to_usual_us=%" G_GINT64_FORMAT " extra_sends_left=%u",
