--- a/gateway/news.c
+++ b/gateway/news.c
@@ -74,11 +74,7 @@
     if (is_delta) {
         json_object_set_new(root, "removed", nws_write_removed(feed, since));
     }
-    char *text = json_dumps(root, JSON_COMPACT);
-    json_decref(root);
-    char *body = g_strdup(text);
-    free(text);
-    return body;
+    return wir_text(root);
 }
 
 static bool
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -111,6 +111,14 @@
     char *(*write_addresses)(const GPtrArray *addresses, int64_t ttl_ms);
 };
 
+/* Compact text of the JSON, which is released; free the text with g_free. */
+char *wir_text(json_t *root);
+
+/* Reads the object of a VM, whose data centre is under `dc_key`. Returns RC_OK
+ * or RC_INVALID. */
+int wir_read_vm(const struct fed_object *object, const char *dc_key,
+                struct wir_vm *out);
+
 void wir_objects_clear(struct wir_objects *objects);
 
 void wir_request_clear(struct wir_request *request);
