gateway: obey Server-Leaving and Retry-After of backend servers, bound idle links of large fleets

Cause: neither field was read: a backend server that said in its answers that it is leaving, or asked with a 503 for no requests, got more of them until its entry changed. Change: platform/ translates both fields (strict numbers); gateway/notice keeps them by the process of the backend server, across the loss of its entry. A leaving one is used only if no other replica can serve, and for half of the drain time; heartbeats tell other VMs. Within the Retry-After of a 503 nothing is sent, also not on a connection that was being opened; a search whose shards want no requests is refused at once with the time until they do. 429 makes others preferred. A VM whose share is below one connection closes links after use.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -20,6 +20,9 @@
 /* Time to write the last answers. */
 #define APP_FLUSH_US (150 * 1000)
 #define APP_PERMILLE 1000.0
+/* Share of the drain time for which a leaving backend server may be used if no
+ * other one can serve. It may have sent its notice some time ago. */
+#define APP_LEAVING_USE_PERMILLE 500
 /* Connections to backend servers may use half of the file descriptors, callers
  * use the rest. */
 #define APP_LINK_FILES_DIVISOR 2
@@ -162,6 +165,8 @@
         .warmup_overshoot =
             (double)settings->warmup_overshoot_permille / APP_PERMILLE,
         .warmup_slack = (uint32_t)settings->warmup_slack,
+        .leaving_use_us =
+            settings->drain_ms * APP_LEAVING_USE_PERMILLE, /* ms x permille */
     };
     app->gateway.backends.link_max =
         (uint32_t)(settings->files / APP_LINK_FILES_DIVISOR);
@@ -203,6 +208,7 @@
     app->settings.warmup_overshoot_permille =
         settings.warmup_overshoot_permille;
     app->settings.warmup_slack = settings.warmup_slack;
+    app->settings.drain_ms = settings.drain_ms;
     app->settings.config_apply_ms = settings.config_apply_ms;
     app->settings.grace_ms = settings.grace_ms;
     app->settings.address_ttl_max_ms = settings.address_ttl_max_ms;
--- a/gateway/backend.c
+++ b/gateway/backend.c
@@ -31,6 +31,7 @@
         .callbacks = callbacks,
         .ctx = ctx,
     };
+    notice_table_init(&set->notices);
 }
 
 struct backend *
@@ -66,9 +67,8 @@
     g_ptr_array_add(list, backend);
 }
 
-/* Closes idle links; of a removed backend server also abandoned ones. */
-static void
-backend_close_unused_links(struct backend_set *set, struct backend *backend)
+void
+backend_close_idle_links(struct backend_set *set, struct backend *backend)
 {
     for (guint i = backend->links->len; i > 0; i--) {
         struct backend_link *link = g_ptr_array_index(backend->links, i - 1);
@@ -80,8 +80,11 @@
 }
 
 static void
-backend_remove(struct backend_set *set, struct backend *backend)
+backend_remove(struct backend_set *set, struct backend *backend,
+               int64_t now_us)
 {
+    notice_keep(&set->notices, backend->id, backend->started_unix_ms,
+                &backend->notice, now_us);
     GPtrArray *list = g_hash_table_lookup(set->by_service, backend->service);
     g_ptr_array_remove(list, backend);
     if (list->len == 0) {
@@ -89,7 +92,7 @@
     }
     g_hash_table_remove(set->by_id, backend->id);
     backend->is_removed = true;
-    backend_close_unused_links(set, backend);
+    backend_close_idle_links(set, backend);
     backend_unref(backend);
 }
 
@@ -102,15 +105,17 @@
         for (guint i = backend->links->len; i > 0; i--) {
             backend_close_link(set, g_ptr_array_index(backend->links, i - 1));
         }
-        backend_remove(set, backend);
+        backend_remove(set, backend, 0);
     }
     g_list_free(all);
     g_hash_table_destroy(set->by_id);
     g_hash_table_destroy(set->by_service);
+    notice_table_clear(&set->notices);
 }
 
 static struct backend *
-backend_add(struct backend_set *set, const struct backend_entry *entry)
+backend_add(struct backend_set *set, const struct backend_entry *entry,
+            int64_t now_us)
 {
     struct backend *backend = g_new0(struct backend, 1);
     backend->references = 1;
@@ -119,6 +124,8 @@
     backend->address = g_strdup(entry->address);
     backend->dc = g_strdup(entry->dc);
     backend->started_unix_ms = entry->started_unix_ms;
+    backend->notice =
+        notice_take(&set->notices, entry->id, entry->started_unix_ms, now_us);
     backend->links = g_ptr_array_new();
     g_hash_table_insert(set->by_id, backend->id, backend);
     backend_add_to_service(set, backend);
@@ -135,11 +142,11 @@
          strcmp(backend->address, entry->address) != 0 ||
          strcmp(backend->dc, entry->dc) != 0 ||
          backend->started_unix_ms != entry->started_unix_ms)) {
-        backend_remove(set, backend);
+        backend_remove(set, backend, now_us);
         backend = NULL;
     }
     if (backend == NULL) {
-        backend = backend_add(set, entry);
+        backend = backend_add(set, entry, now_us);
     }
     backend->slots = entry->slots;
     backend->is_draining = entry->is_draining;
@@ -149,7 +156,7 @@
         backend->cold_until_us = now_us + entry->warmup_left_us;
     }
     if (backend->is_draining) {
-        backend_close_unused_links(set, backend);
+        backend_close_idle_links(set, backend);
     }
 }
 
@@ -162,6 +169,50 @@
     }
 }
 
+/* Records that the process is leaving. Returns whether this is new. */
+static bool
+backend_record_leaving(struct backend_set *set, const char *id,
+                       int64_t started_unix_ms, int64_t now_us)
+{
+    struct backend *backend = backend_find(set, id);
+    if (backend != NULL && backend->started_unix_ms == started_unix_ms) {
+        return notice_on_leaving(&backend->notice, now_us);
+    }
+    struct notice notice =
+        notice_take(&set->notices, id, started_unix_ms, now_us);
+    bool is_new = notice_on_leaving(&notice, now_us);
+    notice_keep(&set->notices, id, started_unix_ms, &notice, now_us);
+    return is_new;
+}
+
+bool
+backend_on_leaving(struct backend_set *set, const char *id,
+                   int64_t started_unix_ms, int64_t now_us)
+{
+    bool is_new = backend_record_leaving(set, id, started_unix_ms, now_us);
+    if (is_new) {
+        notice_tell(&set->notices, id, started_unix_ms, now_us);
+    }
+    return is_new;
+}
+
+struct backend *
+backend_find_at_same_address(const struct backend_set *set,
+                             const struct backend *backend)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, set->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *other = value;
+        if (other != backend &&
+            strcmp(other->address, backend->address) == 0) {
+            return other;
+        }
+    }
+    return NULL;
+}
+
 static bool
 backend_links_near_max(const struct backend_set *set)
 {
@@ -196,7 +247,7 @@
     for (GList *item = all; item != NULL; item = item->next) {
         struct backend *backend = item->data;
         if (backend->remove_us > 0 && now_us >= backend->remove_us) {
-            backend_remove(set, backend);
+            backend_remove(set, backend, now_us);
         }
         else {
             backend_tick_links(set, backend, now_us);
@@ -395,6 +446,14 @@
         MAX(backend->avoid_until_us, now_us + BACKEND_SHED_AVOID_US);
 }
 
+void
+backend_prefer_others(struct backend *backend, int64_t delay_us,
+                      int64_t now_us)
+{
+    int64_t until_us = now_us + MIN(delay_us, BACKEND_PREFER_OTHERS_MAX_US);
+    backend->avoid_until_us = MAX(backend->avoid_until_us, until_us);
+}
+
 void
 backend_on_wrong_id(struct backend *backend, int64_t now_us)
 {
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -171,6 +171,34 @@
     return false;
 }
 
+/* Whether the backend server has said that it is leaving and may no longer be
+ * used, not even if no other one can serve. */
+static bool
+balancer_has_left(const struct backend *backend, int64_t leaving_use_us,
+                  int64_t now_us)
+{
+    return notice_is_leaving(&backend->notice) &&
+           now_us - backend->notice.leaving_us >= leaving_use_us;
+}
+
+bool
+balancer_is_unwanted(const struct backend *backend, int64_t leaving_use_us,
+                     int64_t now_us)
+{
+    return notice_is_backing_off(&backend->notice, now_us) ||
+           balancer_has_left(backend, leaving_use_us, now_us);
+}
+
+/* Whether operators or the backend server itself took it out of use. */
+static bool
+balancer_is_out(const struct backend *backend, GHashTable *drained_dcs,
+                int64_t leaving_use_us, int64_t now_us)
+{
+    return backend->is_draining ||
+           g_hash_table_contains(drained_dcs, backend->dc) ||
+           balancer_has_left(backend, leaving_use_us, now_us);
+}
+
 /* Returns RC_OK if the backend server may get the request now, or why not, as
  * balancer_choose() does. */
 static int
@@ -178,14 +206,19 @@
                const struct balancer_request *request,
                const struct backend *backend, int64_t now_us)
 {
-    if (backend->is_draining ||
-        g_hash_table_contains(request->drained_dcs, backend->dc)) {
+    if (balancer_is_out(backend, request->drained_dcs,
+                        request->bounds.leaving_use_us, now_us)) {
         return RC_ZONE_OUT;
     }
     if (backend->wrong_id_us > 0 ||
         (request->exclude_tried && balancer_is_tried(request, backend))) {
         return RC_NO_SEARCHER;
     }
+    if (notice_is_backing_off(&backend->notice, now_us)) {
+        return backend->notice.backoff_until_us < request->wait_until_us
+                   ? RC_LIMIT
+                   : RC_BACKOFF;
+    }
     if (balancer_is_cold_limited(request, backend, now_us) ||
         !balancer_is_available(set, request, backend, now_us)) {
         return RC_LIMIT;
@@ -193,6 +226,20 @@
     return RC_OK;
 }
 
+/* Returns which of two reasons against two replicas of a service is reported:
+ * the one that will end sooner. */
+static int
+balancer_merge_rc(int a, int b)
+{
+    static const int soonest_first[] = {RC_LIMIT, RC_BACKOFF, RC_ZONE_OUT};
+    for (size_t i = 0; i < G_N_ELEMENTS(soonest_first); i++) {
+        if (a == soonest_first[i] || b == soonest_first[i]) {
+            return soonest_first[i];
+        }
+    }
+    return RC_NO_SEARCHER;
+}
+
 /* Returns the expected time up to which replicas count as equally good. */
 static int64_t
 balancer_equal_limit_us(const struct balancer_candidate *candidates,
@@ -254,10 +301,12 @@
     return candidates[equal[MIN(chosen, equal_count - 1)]].backend;
 }
 
-int
-balancer_choose(const struct backend_set *set,
-                const struct balancer_request *request, int64_t now_us,
-                struct backend **out)
+/* As balancer_choose() among the replicas that have said that they are
+ * leaving, or among the others. */
+static int
+balancer_choose_among(const struct backend_set *set,
+                      const struct balancer_request *request, bool is_leaving,
+                      int64_t now_us, struct backend **out)
 {
     const GPtrArray *all = backend_replicas(set, request->service->name);
     struct balancer_candidate candidates[BALANCER_CANDIDATES_MAX];
@@ -273,6 +322,9 @@
     for (guint i = 0; i < all_count; i++) {
         struct backend *backend =
             g_ptr_array_index(all, (first + i) % all_count);
+        if (notice_is_leaving(&backend->notice) != is_leaving) {
+            continue;
+        }
         int check_rc = balancer_check(set, request, backend, now_us);
         bool is_healthy = !balancer_has_failed(request, backend, now_us);
         if (check_rc == RC_OK &&
@@ -284,7 +336,7 @@
         has_healthy_busy =
             has_healthy_busy || (check_rc == RC_LIMIT && is_healthy);
         if (check_rc != RC_OK) {
-            rc = rc == RC_LIMIT || check_rc == RC_NO_SEARCHER ? rc : check_rc;
+            rc = balancer_merge_rc(rc, check_rc);
             continue;
         }
         connect_failed_count +=
@@ -318,6 +370,19 @@
     return RC_OK;
 }
 
+int
+balancer_choose(const struct backend_set *set,
+                const struct balancer_request *request, int64_t now_us,
+                struct backend **out)
+{
+    int rc = balancer_choose_among(set, request, false, now_us, out);
+    if (rc == RC_OK || rc == RC_LIMIT) {
+        return rc;
+    }
+    int leaving_rc = balancer_choose_among(set, request, true, now_us, out);
+    return leaving_rc == RC_OK ? RC_OK : balancer_merge_rc(rc, leaving_rc);
+}
+
 struct balancer_capacity
 balancer_capacity(const struct backend_set *set,
                   const struct balancer_request *request, int64_t now_us)
@@ -341,19 +406,22 @@
     return capacity;
 }
 
-bool
-balancer_can_serve(const struct backend_set *set, const char *service,
-                   GHashTable *drained_dcs)
+int64_t
+balancer_usable_in_us(const struct backend_set *set, const char *service,
+                      GHashTable *drained_dcs, int64_t leaving_use_us,
+                      int64_t now_us)
 {
+    int64_t usable_in_us = INT64_MAX;
     const GPtrArray *all = backend_replicas(set, service);
     for (guint i = 0; all != NULL && i < all->len; i++) {
         const struct backend *backend = g_ptr_array_index(all, i);
-        if (!backend->is_draining && backend->wrong_id_us == 0 &&
-            !g_hash_table_contains(drained_dcs, backend->dc)) {
-            return true;
+        if (backend->wrong_id_us == 0 &&
+            !balancer_is_out(backend, drained_dcs, leaving_use_us, now_us)) {
+            int64_t wait_us = backend->notice.backoff_until_us - now_us;
+            usable_in_us = MIN(usable_in_us, MAX(wait_us, 0));
         }
     }
-    return false;
+    return usable_in_us;
 }
 
 void
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -202,7 +202,8 @@
         .drained_dcs = gateway->drained_dcs,
         .bounds = {.vms = gateway->vms,
                    .warmup_overshoot = gateway->bounds.warmup_overshoot,
-                   .warmup_slack = gateway->bounds.warmup_slack},
+                   .warmup_slack = gateway->bounds.warmup_slack,
+                   .leaving_use_us = gateway->bounds.leaving_use_us},
         .baseline_us = gateway_route_stats(gateway, route)->baseline_us,
         .random = gateway->callbacks->random(gateway->ctx),
     };
@@ -276,6 +277,27 @@
     g_list_free(services);
 }
 
+static const struct service *
+gateway_find_service(const struct gateway *gateway, const char *name)
+{
+    return gateway->config != NULL
+               ? gateway_config_find_service(gateway->config, name)
+               : NULL;
+}
+
+/* Closes idle links to the backend server if there are more VMs than it has
+ * connections. */
+static void
+gateway_close_surplus_links(struct gateway *gateway, struct backend *backend)
+{
+    const struct service *service =
+        gateway_find_service(gateway, backend->service);
+    if (service != NULL &&
+        !share_has_connection(service->connections_max, gateway->vms)) {
+        backend_close_idle_links(&gateway->backends, backend);
+    }
+}
+
 void
 gateway_on_connected(struct gateway *gateway, struct backend_link *link,
                      int rc, int64_t now_us)
@@ -286,8 +308,11 @@
         return;
     }
     if (attempt == NULL) {
+        struct backend *backend = backend_ref(link->backend);
         backend_release_link(link, BACKEND_IDLE_MAX_US, now_us);
-        gateway_dispatch(gateway, link->backend->service, now_us);
+        gateway_dispatch(gateway, backend->service, now_us);
+        gateway_close_surplus_links(gateway, backend);
+        backend_unref(backend);
         return;
     }
     struct request *request = attempt->part->request;
@@ -318,17 +343,59 @@
 static int64_t
 gateway_warmup_us(const struct gateway *gateway, const char *service)
 {
-    const struct service *declared =
-        gateway->config != NULL
-            ? gateway_config_find_service(gateway->config, service)
-            : NULL;
+    const struct service *declared = gateway_find_service(gateway, service);
     return declared != NULL ? declared->warmup_us : 0;
 }
 
+/* Notes that the backend server is leaving. If another one answered at its
+ * address, it is that one that is leaving. */
+static void
+gateway_on_leaving(struct gateway *gateway, const struct backend *backend,
+                   const struct backend_answer *answer, int64_t now_us)
+{
+    const struct backend *leaving =
+        answer->rc == RC_WRONG_BACKEND
+            ? backend_find_at_same_address(&gateway->backends, backend)
+            : backend;
+    if (leaving == NULL ||
+        !backend_on_leaving(&gateway->backends, leaving->id,
+                            leaving->started_unix_ms, now_us)) {
+        return;
+    }
+    counter_add(gateway->counters, "gateway_leaving", "answer");
+    log_info("backend", "backend server says it is leaving id=%s service=%s",
+             leaving->id, leaving->service);
+}
+
+/*
+ * Obeys the Retry-After of a rejection. With 503 the backend server wants no
+ * requests at all. 429 concerns the rate of requests: others are preferred
+ * meanwhile, but a request that only this one can serve may still be accepted.
+ */
+static void
+gateway_on_retry_after(struct gateway *gateway, struct backend *backend,
+                       const struct backend_answer *answer, int64_t now_us)
+{
+    if (answer->status == 429) {
+        backend_prefer_others(backend, answer->retry_after_us, now_us);
+        counter_add(gateway->counters, "gateway_backoffs", "429");
+        return;
+    }
+    if (answer->status != 503) {
+        return;
+    }
+    counter_add(gateway->counters, "gateway_backoffs", "503");
+    if (notice_on_backoff(&backend->notice, answer->retry_after_us, now_us)) {
+        log_info("backend",
+                 "backend server wants no requests id=%s service=%s "
+                 "for_ms=%" G_GINT64_FORMAT,
+                 backend->id, backend->service, answer->retry_after_us / 1000);
+    }
+}
+
 /* Updates the state of the backend server from its answer. */
 static void
-gateway_update_backend(const struct gateway *gateway,
-                       struct backend_link *link,
+gateway_update_backend(struct gateway *gateway, struct backend_link *link,
                        const struct backend_answer *answer, int64_t now_us)
 {
     struct backend *backend = link->backend;
@@ -340,6 +407,12 @@
     if (answer->warmup_us >= 0) {
         backend->cold_until_us = now_us + answer->warmup_us;
     }
+    if (answer->is_leaving) {
+        gateway_on_leaving(gateway, backend, answer, now_us);
+    }
+    if (answer->retry_after_us > 0) {
+        gateway_on_retry_after(gateway, backend, answer, now_us);
+    }
     if (answer->rc == RC_OK) {
         backend_on_answer(backend, now_us - link->state_since_us);
     }
@@ -393,6 +466,7 @@
         gateway_handle_answer(gateway, attempt, answer, now_us);
     }
     gateway_dispatch(gateway, backend->service, now_us);
+    gateway_close_surplus_links(gateway, backend);
     backend_unref(backend);
 }
 
@@ -423,6 +497,20 @@
         now_us + gateway_warmup_us(gateway, backend->service);
 }
 
+void
+gateway_on_peer_leaving(struct gateway *gateway, const char *id,
+                        int64_t started_unix_ms, int64_t now_us)
+{
+    if (!backend_on_leaving(&gateway->backends, id, started_unix_ms, now_us)) {
+        return;
+    }
+    counter_add(gateway->counters, "gateway_leaving", "peer");
+    log_info("backend",
+             "another VM says that the backend server is leaving "
+             "id=%s",
+             id);
+}
+
 void
 gateway_on_dc_undrained(struct gateway *gateway, const char *dc,
                         int64_t now_us)
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -17,7 +17,8 @@
     HEARTBEAT_FIELD_IS_REPLY,
     HEARTBEAT_FIELD_CHANGES, /* one for each kind */
     HEARTBEAT_FIELD_RELAYED = HEARTBEAT_FIELD_CHANGES + OBJECT_KIND_COUNT,
-    HEARTBEAT_FIELD_AGES, /* one for each kind; older senders omit it */
+    HEARTBEAT_FIELD_AGES,    /* one for each kind; older senders omit it */
+    HEARTBEAT_FIELD_LEAVING, /* backend servers; older senders omit it */
     HEARTBEAT_FIELD_COUNT,
     HEARTBEAT_FIELD_COUNT_MIN = HEARTBEAT_FIELD_AGES,
 };
@@ -58,6 +59,12 @@
     for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++) {
         msgpack_pack_int64(&packer, in->ages_us[kind]);
     }
+    msgpack_pack_array(&packer, heartbeat->leaving_count);
+    for (size_t i = 0; i < heartbeat->leaving_count; i++) {
+        msgpack_pack_array(&packer, 2);
+        heartbeat_put_text(&packer, heartbeat->leaving[i].id);
+        msgpack_pack_int64(&packer, heartbeat->leaving[i].started_unix_ms);
+    }
 }
 
 /* Copies the string to the msgpack zone, with a terminating zero. Returns NULL
@@ -152,6 +159,37 @@
     }
 }
 
+/* Reads the backend servers that are leaving; malformed ones are left out. */
+static void
+heartbeat_read_leaving(const msgpack_object *root, struct heartbeat *out)
+{
+    const msgpack_object *list =
+        root->via.array.size > HEARTBEAT_FIELD_LEAVING
+            ? &root->via.array.ptr[HEARTBEAT_FIELD_LEAVING]
+            : NULL;
+    uint32_t count = list != NULL && list->type == MSGPACK_OBJECT_ARRAY
+                         ? list->via.array.size
+                         : 0;
+    for (uint32_t i = 0; i < count && out->leaving_count < NOTICE_TOLD_MAX;
+         i++) {
+        const msgpack_object *item = &list->via.array.ptr[i];
+        if (item->type != MSGPACK_OBJECT_ARRAY || item->via.array.size < 2 ||
+            !heartbeat_is_number(&item->via.array.ptr[1]) ||
+            item->via.array.ptr[1].via.u64 > INT64_MAX) {
+            continue;
+        }
+        const char *id = heartbeat_text(&item->via.array.ptr[0], &out->zone);
+        if (id == NULL) {
+            continue;
+        }
+        out->leaving[out->leaving_count] = (struct heartbeat_leaving){
+            .id = id,
+            .started_unix_ms = item->via.array.ptr[1].via.i64,
+        };
+        out->leaving_count += 1;
+    }
+}
+
 static bool
 heartbeat_read_numbers(const msgpack_object *fields,
                        struct member_heartbeat *heartbeat)
@@ -188,6 +226,7 @@
     heartbeat->peer_address =
         heartbeat_text(&fields[HEARTBEAT_FIELD_PEER_ADDRESS], &out->zone);
     heartbeat_read_ages(root, heartbeat);
+    heartbeat_read_leaving(root, out);
     return heartbeat_is_number(&fields[HEARTBEAT_FIELD_TYPE]) &&
            fields[HEARTBEAT_FIELD_TYPE].via.u64 == HEARTBEAT_TYPE &&
            heartbeat->name != NULL && heartbeat->dc != NULL &&
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -103,6 +103,20 @@
     return part_run_count(part) < MAX(route->attempts_max, 1);
 }
 
+/* Returns until when the part may wait for a backend server: the objective of
+ * its request, or the deadline if it has none or has missed it. */
+static int64_t
+part_wait_until_us(const struct part *part)
+{
+    const struct request *request = part->request;
+    if (request->route->objective_us <= 0 || request->is_late) {
+        return request->deadline_us;
+    }
+    int64_t objective_us = request->started_us - request->spent_us +
+                           request->route->objective_us - FINISH_MARGIN_US;
+    return MIN(objective_us, request->deadline_us);
+}
+
 static int
 part_choose(struct part *part, bool is_hedge, int64_t now_us,
             struct backend **out)
@@ -115,6 +129,7 @@
     request.is_late = part->request->is_late;
     request.exclude_tried = is_hedge || !is_idempotent;
     request.may_probe = is_idempotent && part->attempt_count == 0;
+    request.wait_until_us = part_wait_until_us(part);
     for (uint32_t i = 0; i < part->attempt_count; i++) {
         const struct attempt *attempt = &part->attempts[i];
         /* The connection may have gone silent while the backend server works:
@@ -437,6 +452,13 @@
 void
 part_on_connected(struct attempt *attempt, int64_t now_us)
 {
+    struct gateway *gateway = attempt->part->request->gateway;
+    if (balancer_is_unwanted(attempt->backend, gateway->bounds.leaving_use_us,
+                             now_us)) {
+        backend_release_link(attempt->link, BACKEND_IDLE_MAX_US, now_us);
+        part_on_failure(attempt, RC_BACKOFF, now_us);
+        return;
+    }
     if (part_send(attempt, now_us) != RC_OK) {
         part_drop_link(attempt);
         part_on_failure(attempt, RC_LINK_FAILED, now_us);
@@ -480,7 +502,7 @@
     else if (rc == RC_WRONG_BACKEND) {
         backend_on_wrong_id(attempt->backend, now_us);
     }
-    else {
+    else if (rc != RC_BACKOFF) {
         backend_on_failure(attempt->backend, now_us);
     }
     if (part->state != PART_OPEN || part_is_in_flight(part)) {
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -86,6 +86,15 @@
     }
     heartbeat.relayed_count = vms->len;
     g_ptr_array_free(vms, TRUE);
+    const struct notice_leaving *leaving[NOTICE_TOLD_MAX];
+    heartbeat.leaving_count =
+        notice_to_tell(&app->gateway.backends.notices, app_now_us(), leaving);
+    for (size_t i = 0; i < heartbeat.leaving_count; i++) {
+        heartbeat.leaving[i] = (struct heartbeat_leaving){
+            .id = leaving[i]->id,
+            .started_unix_ms = leaving[i]->started_unix_ms,
+        };
+    }
     msgpack_sbuffer_init(out);
     heartbeat_encode(&heartbeat, out);
 }
@@ -102,6 +111,10 @@
         member_on_relayed(&app->members, in->relayed[i].name,
                           in->relayed[i].request_address, now_us);
     }
+    for (size_t i = 0; i < in->leaving_count; i++) {
+        gateway_on_peer_leaving(&app->gateway, in->leaving[i].id,
+                                in->leaving[i].started_unix_ms, now_us);
+    }
     if (!app_is_ready(app)) {
         app_sync(app);
     }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -136,13 +136,25 @@
     request_finish(request, &out, now_us);
 }
 
+/* Returns the delay until a retry of the failed request can be served. */
+static int64_t
+request_retry_after_us(const struct request *request, int64_t now_us)
+{
+    int64_t coverage_us = gateway_coverage_in_us(
+        request->gateway, request->route, request->parts[0].target,
+        request->part_count, now_us);
+    return coverage_us == INT64_MAX
+               ? GATEWAY_NO_BACKEND_RETRY_US
+               : MAX(coverage_us, GATEWAY_NO_BACKEND_RETRY_US);
+}
+
 void
 request_fail(struct request *request, int rc, int64_t now_us)
 {
     struct caller_answer out = {
         .rc = rc,
         .route = request->route,
-        .retry_after_us = GATEWAY_NO_BACKEND_RETRY_US,
+        .retry_after_us = request_retry_after_us(request, now_us),
     };
     request_finish(request, &out, now_us);
 }
--- a/gateway/request_start.c
+++ b/gateway/request_start.c
@@ -148,37 +148,42 @@
     params->on_answer(&answer, params->ctx);
 }
 
-/* Returns how many services of the route have a usable backend server. */
-static guint
-gateway_available_count(const struct gateway *gateway,
-                        const struct route *route)
+/* As balancer_usable_in_us() for the service of the route's target. */
+static int64_t
+gateway_usable_in_us(const struct gateway *gateway, const struct route *route,
+                     uint32_t target, int64_t now_us)
 {
-    guint count = 0;
-    for (guint i = 0; i < route->targets->len; i++) {
-        const struct route_target *target =
-            &g_array_index(route->targets, struct route_target, i);
-        count += balancer_can_serve(&gateway->backends, target->service->name,
-                                    gateway->drained_dcs)
-                     ? 1
-                     : 0;
-    }
-    return count;
+    const struct service *service =
+        g_array_index(route->targets, struct route_target, target).service;
+    return balancer_usable_in_us(&gateway->backends, service->name,
+                                 gateway->drained_dcs,
+                                 gateway->bounds.leaving_use_us, now_us);
 }
 
-/*
- * Whether enough shards have a usable backend server for the minimum coverage.
- * If not, the request is refused before any part is sent, so that the answer
- * can say "not run" and the caller may retry.
- */
-static bool
-gateway_can_cover(const struct gateway *gateway, const struct route *route)
+static uint32_t
+gateway_coverage_permille(const struct route *route)
+{
+    return route->is_gather ? route->coverage_min_permille : 1000;
+}
+
+int64_t
+gateway_coverage_in_us(const struct gateway *gateway,
+                       const struct route *route, uint32_t first_target,
+                       uint32_t target_count, int64_t now_us)
 {
-    return (uint64_t)gateway_available_count(gateway, route) * 1000 >=
-           (uint64_t)route->targets->len * route->coverage_min_permille;
+    int64_t *part_us = g_new(int64_t, target_count);
+    for (uint32_t i = 0; i < target_count; i++) {
+        part_us[i] =
+            gateway_usable_in_us(gateway, route, first_target + i, now_us);
+    }
+    int64_t coverage_us = admit_coverage_us(part_us, target_count,
+                                            gateway_coverage_permille(route));
+    g_free(part_us);
+    return coverage_us;
 }
 
 bool
-gateway_lacks_backends(const struct gateway *gateway)
+gateway_lacks_backends(const struct gateway *gateway, int64_t now_us)
 {
     if (gateway->config == NULL) {
         return false;
@@ -188,8 +193,10 @@
     g_hash_table_iter_init(&iter, gateway->config->routes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct route *route = value;
-        if (gateway_available_count(gateway, route) < route->targets->len) {
-            return true;
+        for (guint i = 0; i < route->targets->len; i++) {
+            if (gateway_usable_in_us(gateway, route, i, now_us) == INT64_MAX) {
+                return true;
+            }
         }
     }
     return false;
@@ -234,20 +241,56 @@
             gateway_part_expected_us(gateway, arrival, i, ahead_count, now_us);
     }
     const struct route *route = arrival->route;
-    int64_t expected_us = admit_coverage_us(
-        part_us, arrival->target_count,
-        route->is_gather ? route->coverage_min_permille : 1000);
+    int64_t expected_us = admit_coverage_us(part_us, arrival->target_count,
+                                            gateway_coverage_permille(route));
     g_free(part_us);
     return expected_us;
 }
 
+/* Returns the time left until the objective, or until the deadline if the
+ * route has none. */
+static int64_t
+gateway_objective_left_us(const struct arrival *arrival, int64_t now_us)
+{
+    return arrival->route->objective_us > 0
+               ? arrival->route->objective_us - arrival->spent_us
+               : arrival->deadline_us - now_us;
+}
+
+/*
+ * Refuses a request that too few backend servers can serve, before any part is
+ * sent, so that the answer can say "not run" and the caller may retry. Returns
+ * whether it did. A request whose backend servers only want a pause waits for
+ * them if it can still be in time.
+ */
+static bool
+gateway_refuse_uncovered(struct gateway *gateway,
+                         const struct arrival *arrival, int64_t now_us)
+{
+    int64_t coverage_us =
+        gateway_coverage_in_us(gateway, arrival->route, arrival->first_target,
+                               arrival->target_count, now_us);
+    bool asks_all = arrival->route->is_gather &&
+                    arrival->params->only_target == REQUEST_ALL_TARGETS;
+    if (coverage_us == INT64_MAX && asks_all) {
+        gateway_refuse(gateway, arrival->params, RC_NO_SEARCHER,
+                       GATEWAY_NO_BACKEND_RETRY_US);
+        return true;
+    }
+    int64_t left_us =
+        gateway_objective_left_us(arrival, now_us) - FINISH_MARGIN_US;
+    if (coverage_us > 0 && coverage_us < INT64_MAX && coverage_us >= left_us) {
+        gateway_refuse(gateway, arrival->params, RC_BACKOFF, coverage_us);
+        return true;
+    }
+    return false;
+}
+
 static enum admit_decision
 gateway_admit(struct gateway *gateway, const struct arrival *arrival,
               int64_t now_us)
 {
-    int64_t left_us = arrival->route->objective_us > 0
-                          ? arrival->route->objective_us - arrival->spent_us
-                          : arrival->deadline_us - now_us;
+    int64_t left_us = gateway_objective_left_us(arrival, now_us);
     struct admit_request request = {
         .expected_us = gateway_expected_us(gateway, arrival, now_us),
         .objective_left_us = left_us - FINISH_MARGIN_US,
@@ -312,13 +355,10 @@
         gateway_refuse(gateway, params, RC_TOO_LARGE, 0);
         return NULL;
     }
-    if (route->is_gather && params->only_target == REQUEST_ALL_TARGETS &&
-        !gateway_can_cover(gateway, route)) {
-        gateway_refuse(gateway, params, RC_NO_SEARCHER,
-                       GATEWAY_NO_BACKEND_RETRY_US);
+    struct arrival arrival = gateway_arrival(gateway, route, params, now_us);
+    if (gateway_refuse_uncovered(gateway, &arrival, now_us)) {
         return NULL;
     }
-    struct arrival arrival = gateway_arrival(gateway, route, params, now_us);
     enum admit_decision decision = gateway_admit(gateway, &arrival, now_us);
     if (decision == ADMIT_REFUSE) {
         gateway_refuse(gateway, params, RC_QUEUE_FULL,
--- a/gateway/roster_io.c
+++ b/gateway/roster_io.c
@@ -228,7 +228,7 @@
         .recovered_us = app->sync.recovered_us,
         .change = cache->change,
         .lacks_backends = roster_may_read(&roster_io->roster, now_us) &&
-                          gateway_lacks_backends(&app->gateway),
+                          gateway_lacks_backends(&app->gateway, now_us),
     };
     enum roster_call call = roster_due(&roster_io->roster, &state, now_us);
     if (call != ROSTER_NONE) {
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -58,6 +58,8 @@
      offsetof(struct settings, warmup_slack), 1, 0, 1000000},
     {"config", "apply_ms", SETTINGS_NUMBER,
      offsetof(struct settings, config_apply_ms), 1, 1, SETTINGS_DAY_MS},
+    {"drain", "ms", SETTINGS_NUMBER, offsetof(struct settings, drain_ms), 1, 0,
+     SETTINGS_DAY_MS},
     {"directory", "ttl_max_s", SETTINGS_NUMBER,
      offsetof(struct settings, address_ttl_max_ms), 1000, 1, SETTINGS_DAY_MS},
 };
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -12,12 +12,22 @@
 /* One request runs in a slot, and one waits for it. */
 #define SHARE_REQUESTS_PER_SLOT 2
 
+static uint32_t
+share_usable_connections(uint32_t max)
+{
+    return (uint32_t)((uint64_t)max * SHARE_CONNECTIONS_PERMILLE / 1000);
+}
+
 uint32_t
 share_connections(uint32_t max, uint32_t vms)
 {
-    uint32_t usable =
-        (uint32_t)((uint64_t)max * SHARE_CONNECTIONS_PERMILLE / 1000);
-    return MAX(usable / MAX(vms, 1), 1);
+    return MAX(share_usable_connections(max) / MAX(vms, 1), 1);
+}
+
+bool
+share_has_connection(uint32_t max, uint32_t vms)
+{
+    return share_usable_connections(max) >= vms;
 }
 
 uint32_t
--- a/include/common/http_field.h
+++ b/include/common/http_field.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <string.h>
 
 /*
@@ -44,4 +45,15 @@
  */
 bool http_field_is_hop_by_hop(const struct http_field *field);
 
+/* Returns the field without white space around its value. */
+struct http_field http_field_trim(const struct http_field *field);
+
+/*
+ * Reads a value that is digits with an optional decimal fraction, times
+ * `scale`, cut to `max`. Returns false for anything else: a sign, an exponent,
+ * a date, an empty value.
+ */
+bool http_field_read_decimal(const struct http_field *field, int64_t scale,
+                             int64_t max, int64_t *out);
+
 #endif
--- a/include/common/rc.h
+++ b/include/common/rc.h
@@ -83,7 +83,9 @@
     X(RC_WRONG_BACKEND, -40, "wrong_backend", RC_EXECUTED_NO, 503,            \
       "another backend server has the address")                               \
     X(RC_BACKEND_ERROR, -41, "backend_error", RC_EXECUTED_YES, 502,           \
-      "backend server answered with an error")
+      "backend server answered with an error")                                \
+    X(RC_BACKOFF, -42, "backoff", RC_EXECUTED_NO, 503,                        \
+      "all backend servers asked to get no requests for a while")
 
 #define RC_ENUM(symbol, number, name, executed, http, text) symbol = (number),
 enum rc { RC_LIST(RC_ENUM) };
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/notice.h"
+
 /*
  * The backend servers, the connections (links) to them, and what this VM has
  * measured of them: latency, failures, cold starts. The set belongs to the
@@ -74,6 +76,7 @@
     /* When its address answered for another backend server, or 0; it is not
      * used until its entry changes. */
     int64_t wrong_id_us;
+    struct notice notice; /* what its answers said of itself */
     struct cold_window cold;
 };
 
@@ -85,8 +88,9 @@
 };
 
 struct backend_set {
-    GHashTable *by_id;      /* id -> struct backend */
-    GHashTable *by_service; /* name -> GPtrArray of struct backend */
+    GHashTable *by_id;           /* id -> struct backend */
+    GHashTable *by_service;      /* name -> GPtrArray of struct backend */
+    struct notice_table notices; /* of removed backend servers */
     uint32_t link_count;
     uint32_t link_max; /* of all backend servers together */
     const struct backend_callbacks *callbacks;
@@ -113,6 +117,9 @@
 #define BACKEND_CONNECT_MAX_US (1000 * 1000)
 /* Consecutive failures from which a backend server is avoided. */
 #define BACKEND_AVOID_FAILURES 2
+/* Longest time for which a backend server that rejects some requests is
+ * avoided: it may accept them again long before. */
+#define BACKEND_PREFER_OTHERS_MAX_US (1000 * 1000)
 
 void backend_set_init(struct backend_set *set,
                       const struct backend_callbacks *callbacks, void *ctx);
@@ -135,6 +142,18 @@
  * abandoned for too long. */
 void backend_tick(struct backend_set *set, int64_t now_us);
 
+/*
+ * The process of a backend server that started at `started_unix_ms` said that
+ * it is leaving; it need not be in the set. Returns whether this is new; other
+ * VMs are told then.
+ */
+bool backend_on_leaving(struct backend_set *set, const char *id,
+                        int64_t started_unix_ms, int64_t now_us);
+
+/* Returns another backend server at the same address, or NULL. */
+struct backend *backend_find_at_same_address(const struct backend_set *set,
+                                             const struct backend *backend);
+
 /* Returns the backend servers (struct backend) of a service, NULL for none. */
 const GPtrArray *backend_replicas(const struct backend_set *set,
                                   const char *service);
@@ -177,6 +196,10 @@
 /* Returns how many links are connecting. */
 uint32_t backend_connecting_count(const struct backend *backend);
 
+/* Closes idle links; of a removed backend server also abandoned ones. */
+void backend_close_idle_links(struct backend_set *set,
+                              struct backend *backend);
+
 /* Closes and frees the link. */
 void backend_close_link(struct backend_set *set, struct backend_link *link);
 
@@ -203,6 +226,11 @@
 /* The backend server refused a request because it is full. */
 void backend_on_shed(struct backend *backend, int64_t now_us);
 
+/* The backend server rejects some requests: for `delay_us`, at most
+ * BACKEND_PREFER_OTHERS_MAX_US, others are preferred. */
+void backend_prefer_others(struct backend *backend, int64_t delay_us,
+                           int64_t now_us);
+
 /* Its address answered for another backend server: it is not used until its
  * entry changes. */
 void backend_on_wrong_id(struct backend *backend, int64_t now_us);
--- a/include/gateway/balancer.h
+++ b/include/gateway/balancer.h
@@ -22,6 +22,7 @@
     uint32_t vms; /* VMs that may be sending, this one included */
     double warmup_overshoot;
     uint32_t warmup_slack;
+    int64_t leaving_use_us; /* as in gateway_bounds */
 };
 
 struct balancer_request {
@@ -37,6 +38,8 @@
     uint32_t tried_count;
     /* Usual time of a part on this route without load, 0: unknown. */
     int64_t baseline_us;
+    /* The request may wait until then for a backend server. */
+    int64_t wait_until_us;
     bool is_hedge;      /* not sent to a loaded backend server */
     bool is_late;       /* spaced, so that late requests of all VMs fit */
     bool exclude_tried; /* never a backend server that was tried */
@@ -47,9 +50,11 @@
 
 /*
  * Chooses the replica with about the shortest expected time among those that
- * may get a request now. Returns RC_OK and sets `*out`; RC_LIMIT if those that
- * could serve it are at a limit of this VM; RC_ZONE_OUT if all are draining;
- * RC_NO_SEARCHER if there is none.
+ * may get a request now. A leaving one is chosen only if no other one can be.
+ * Returns RC_OK and sets `*out`; RC_LIMIT if those that could serve it are at
+ * a limit of this VM; RC_BACKOFF if they want no requests for longer than this
+ * one may wait; RC_ZONE_OUT if all are draining; RC_NO_SEARCHER if there is
+ * none.
  */
 int balancer_choose(const struct backend_set *set,
                     const struct balancer_request *request, int64_t now_us,
@@ -65,10 +70,15 @@
 balancer_capacity(const struct backend_set *set,
                   const struct balancer_request *request, int64_t now_us);
 
-/* Whether any backend server of the service may get requests, now or as soon
- * as this VM's limits allow. */
-bool balancer_can_serve(const struct backend_set *set, const char *service,
-                        GHashTable *drained_dcs);
+/* Returns the time until a backend server of the service wants requests: 0 for
+ * now, even if a limit of this VM delays them; INT64_MAX if there is none. */
+int64_t balancer_usable_in_us(const struct backend_set *set,
+                              const char *service, GHashTable *drained_dcs,
+                              int64_t leaving_use_us, int64_t now_us);
+
+/* Whether the backend server wants no requests now. */
+bool balancer_is_unwanted(const struct backend *backend,
+                          int64_t leaving_use_us, int64_t now_us);
 
 /* A request is sent to the backend server: counts it against the rate limit
  * of a cold one, and spaces late requests. */
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -75,7 +75,10 @@
     bool is_reusable;     /* the link may carry another request */
     int64_t keepalive_us; /* how long the link may stay idle */
     int64_t warmup_us;    /* how long it stays cold, -1: unknown */
-    uint64_t start;       /* start id of its process, 0: unknown */
+    bool is_leaving;      /* it will shut down and wants no new requests */
+    /* With a rejection: it wants no requests for this time, 0: not given. */
+    int64_t retry_after_us;
+    uint64_t start; /* start id of its process, 0: unknown */
 };
 
 /* One part of a gathered answer. */
@@ -116,6 +119,9 @@
     uint32_t extra_count;
     double warmup_overshoot;
     uint32_t warmup_slack;
+    /* A leaving backend server may be used for this time after its notice if
+     * no other replica can serve. */
+    int64_t leaving_use_us;
 };
 
 /* Statistics of the requests on a route. */
@@ -171,7 +177,7 @@
                          struct gateway_config *config);
 
 /* Whether some service of a route has no usable backend server. */
-bool gateway_lacks_backends(const struct gateway *gateway);
+bool gateway_lacks_backends(const struct gateway *gateway, int64_t now_us);
 
 /* Starts a request. Returns NULL if it was answered before the return. */
 struct request *gateway_submit(struct gateway *gateway,
@@ -199,6 +205,11 @@
 void gateway_on_new_backend(struct gateway *gateway, const char *id,
                             int64_t now_us);
 
+/* Another VM was told by the process of a backend server, known by its start
+ * time, that it is leaving. */
+void gateway_on_peer_leaving(struct gateway *gateway, const char *id,
+                             int64_t started_unix_ms, int64_t now_us);
+
 /* The data centre is no longer drained. Its backend servers do not report
  * whether they are cold, so they are treated as cold. */
 void gateway_on_dc_undrained(struct gateway *gateway, const char *dc,
@@ -219,6 +230,16 @@
                                                  const struct service *service,
                                                  const struct route *route);
 
+/*
+ * Returns the time until enough of the route's targets, from `first_target`
+ * on, have a backend server that wants requests: 0 for now, INT64_MAX if they
+ * have none.
+ */
+int64_t gateway_coverage_in_us(const struct gateway *gateway,
+                               const struct route *route,
+                               uint32_t first_target, uint32_t target_count,
+                               int64_t now_us);
+
 /* Returns the statistics of a route, which are kept when the configuration
  * changes; creates them if needed. */
 struct route_stats *gateway_route_stats(struct gateway *gateway,
--- a/include/gateway/heartbeat.h
+++ b/include/gateway/heartbeat.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "gateway/member.h"
+#include "gateway/notice.h"
 
 /*
  * Encodes and decodes the datagrams that VMs send each other: a heartbeat is a
@@ -19,10 +20,18 @@
     const char *request_address;
 };
 
+/* A backend server that said that it is leaving, see struct notice_leaving. */
+struct heartbeat_leaving {
+    const char *id;
+    int64_t started_unix_ms;
+};
+
 struct heartbeat {
     struct member_heartbeat heartbeat;
     struct heartbeat_relayed relayed[MEMBER_RELAYED_MAX];
     size_t relayed_count;
+    struct heartbeat_leaving leaving[NOTICE_TOLD_MAX];
+    size_t leaving_count;
     msgpack_zone zone; /* memory of the decoded fields */
 };
 
--- a/include/gateway/settings.h
+++ b/include/gateway/settings.h
@@ -27,6 +27,9 @@
      * per second, from all VMs together. */
     int64_t warmup_overshoot_permille;
     int64_t warmup_slack;
+    /* For how long after its notice a leaving backend server goes on serving.
+     */
+    int64_t drain_ms;
     int64_t config_apply_ms;    /* until a configuration must be in force */
     int64_t address_ttl_max_ms; /* for which callers may cache addresses */
 };
--- a/include/gateway/share.h
+++ b/include/gateway/share.h
@@ -1,6 +1,7 @@
 #ifndef CH_GATEWAY_SHARE_H
 #define CH_GATEWAY_SHARE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -9,9 +10,17 @@
  * within the limit. The module keeps no state.
  */
 
-/* Connections to one backend server that accepts `max` in all; at least 1. */
+/* Connections to one backend server that accepts `max` in all; at least 1,
+ * see share_has_connection(). */
 uint32_t share_connections(uint32_t max, uint32_t vms);
 
+/*
+ * Whether the share is a whole connection. If not, there are more VMs than
+ * connections, and a VM opens one only while it has a request for the backend
+ * server: idle ones of all VMs would take the place of those in use.
+ */
+bool share_has_connection(uint32_t max, uint32_t vms);
+
 /* Requests in flight at a loaded backend server with `slots`: those that run
  * and as many that wait there; at least 1. */
 uint32_t share_slot_requests(uint32_t slots, uint32_t vms);
--- a/tests/gateway/test_beat.c
+++ b/tests/gateway/test_beat.c
@@ -31,6 +31,11 @@
         g_string_append_printf(out, " %s@%s", heartbeat->relayed[i].name,
                                heartbeat->relayed[i].request_address);
     }
+    for (size_t i = 0; i < heartbeat->leaving_count; i++) {
+        g_string_append_printf(out, " leaving=%s/%" PRId64,
+                               heartbeat->leaving[i].id,
+                               heartbeat->leaving[i].started_unix_ms);
+    }
 }
 
 /* > round-trip: encodes and decodes a heartbeat; prints the decoded fields and
@@ -50,6 +55,8 @@
                       .ages_us = {0, MEMBER_AGE_NONE, 1500000}},
         .relayed = {{"m2", "127.0.0.1:3"}, {"m3", "127.0.0.1:4"}},
         .relayed_count = 2,
+        .leaving = {{"b1", 1765000000000}},
+        .leaving_count = 1,
     };
     msgpack_sbuffer buffer;
     msgpack_sbuffer_init(&buffer);
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -102,7 +102,7 @@
     if (answer->status != 0) {
         g_string_append_printf(test->out, " status=%d", answer->status);
     }
-    if (answer->rc == RC_QUEUE_FULL) {
+    if (answer->rc == RC_QUEUE_FULL || answer->rc == RC_BACKOFF) {
         g_string_append_printf(test->out, " retry_after=%" PRId64,
                                answer->retry_after_us / MS);
     }
@@ -193,7 +193,7 @@
     test->draft = NULL;
 }
 
-/* > backend ID SERVICE DC [draining|cold] */
+/* > backend ID SERVICE DC [draining|cold|STARTED_UNIX_MS] */
 static void
 run_backend(void *ctx, int argc, char **argv, GString *out)
 {
@@ -207,6 +207,7 @@
         .slots = 2,
         .is_draining = argc > 4 && strcmp(argv[4], "draining") == 0,
         .warmup_left_us = is_cold ? 60 * 1000 * MS : 0,
+        .started_unix_ms = argc > 4 ? g_ascii_strtoll(argv[4], NULL, 10) : 0,
     };
     test->out = out;
     backend_update(&test->gateway.backends, &entry, test->now_us);
@@ -263,6 +264,7 @@
         .extra_count = (uint32_t)script_number(argc, argv, 3),
         .warmup_overshoot = 1.5,
         .warmup_slack = 5,
+        .leaving_use_us = 1500LL * MS,
     };
 }
 
@@ -348,7 +350,8 @@
     }
 }
 
-/* > reply LINK ok|shed|wrong|error [closes]: the answer has two records. */
+/* > reply LINK ok|shed|limited|wrong|error [closes] [leaving]
+ *   [retry-after=MS]: the answer has two records. */
 static void
 run_reply(void *ctx, int argc, char **argv, GString *out)
 {
@@ -361,6 +364,7 @@
     } kinds[] = {
         {"ok", RC_OK, 200},
         {"shed", RC_SHED, 503},
+        {"limited", RC_SHED, 429},
         {"wrong", RC_WRONG_BACKEND, 421},
         {"error", RC_BACKEND_ERROR, 500},
     };
@@ -375,10 +379,22 @@
             .fields = "",
             .body = "AAAAAAAAAAAAAAAABBBBBBBBBBBBBBBB",
             .body_bytes = 32,
-            .is_reusable = argc <= 3,
+            .is_reusable = true,
             .keepalive_us = 10000LL * MS,
             .warmup_us = -1,
         };
+        for (int j = 3; j < argc; j++) {
+            const char *retry_after = "retry-after=";
+            if (g_str_has_prefix(argv[j], retry_after)) {
+                answer.retry_after_us =
+                    MS *
+                    g_ascii_strtoll(argv[j] + strlen(retry_after), NULL, 10);
+            }
+            answer.is_reusable =
+                answer.is_reusable && strcmp(argv[j], "closes") != 0;
+            answer.is_leaving =
+                answer.is_leaving || strcmp(argv[j], "leaving") == 0;
+        }
         gateway_on_answer(&test->gateway, link_of(test, argv[1]), &answer,
                           test->now_us);
         return;
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -539,7 +539,8 @@
     "[store]\naddress = 127.0.0.1:5\n[stop]\ngrace_s = 6\n"
     "[retries]\nextra_ratio = 0.2\nextra_count = 52\n"
     "[warmup]\novershoot_ratio = 1.5\nslack = 5\n"
-    "[config]\napply_ms = 3000\n[directory]\nttl_max_s = 5\n";
+    "[config]\napply_ms = 3000\n[drain]\nms = 3000\n[directory]\nttl_max_s = "
+    "5\n";
 
 /* > settings [OLD NEW]: reads a valid file in which OLD is replaced by NEW. */
 static void
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -204,6 +204,13 @@
         g_string_append_printf(out, " warmup_ms=%" PRId64,
                                answer->warmup_us / 1000);
     }
+    if (answer->is_leaving) {
+        g_string_append(out, " leaving");
+    }
+    if (answer->retry_after_us > 0) {
+        g_string_append_printf(out, " retry_after_ms=%" PRId64,
+                               answer->retry_after_us / 1000);
+    }
     g_strdelimit(read.fields->str, "\r\n", '|');
     g_string_append_printf(out, " passes=%s", read.fields->str);
     wire_answer_clear(&read);
--- a/tests/soak/vm.c
+++ b/tests/soak/vm.c
@@ -22,7 +22,8 @@
         "[store]\naddress = %s\n[stop]\ngrace_s = %lld\n"
         "[retries]\nextra_ratio = 0.2\nextra_count = %d\n"
         "[warmup]\novershoot_ratio = 1.5\nslack = 5\n"
-        "[config]\napply_ms = %lld\n[directory]\nttl_max_s = 5\n",
+        "[config]\napply_ms = %lld\n[drain]\nms = "
+        "3000\n[directory]\nttl_max_s = 5\n",
         vm->name, vm->index % SOAK_DCS, vm->ip, vm->ip, vm->ip, vm->ip, store,
         SOAK_GRACE_US / SOAK_SECOND_US, SOAK_BUDGET_COUNT,
         SOAK_CONFIG_LIMIT_US / 1000);
