soak: backend servers that announce, want no requests, repeat and cut answers

Cause: the fault soak judged neither Server-Leaving nor Retry-After, and no fault sent a second copy of an answer on a reused connection or cut an answer.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -100,6 +100,13 @@
     }
 }
 
+struct vm *
+caller_vm_of(struct soak *soak, const char *id)
+{
+    struct caller_request *request = g_hash_table_lookup(soak->requests, id);
+    return request != NULL ? request->vm : NULL;
+}
+
 void
 caller_on_arrival(struct soak *soak, struct server *server, const char *id,
                   const char *target, bool is_executed)
@@ -117,6 +124,7 @@
     uint32_t *bucket = is_first ? budget->first_sends : budget->extra_sends;
     bucket[caller_elapsed_s(soak)] += 1;
     caller_check_drain(soak, server, request);
+    notice_on_arrival(server, request->vm, id, request->sent_us);
     if (!is_executed) {
         return;
     }
@@ -235,6 +243,22 @@
     }
 }
 
+/* The answer says that the backend server with this stamp is leaving. */
+static void
+caller_note_leaving(const struct caller_request *request, const char *stamp)
+{
+    struct soak *soak = request->soak;
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        struct server *server = &soak->servers[i];
+        char *id = g_strdup_printf("-%s:", server->id);
+        if (strstr(stamp, id) != NULL &&
+            request->vm->incarnation == request->incarnation) {
+            notice_on_leaving(server, request->vm);
+        }
+        g_free(id);
+    }
+}
+
 static void
 caller_check_single(struct caller_request *request,
                     const struct http_response *response)
@@ -250,6 +274,9 @@
     else {
         caller_check_version(request, soak_service_of(stamp));
     }
+    if (http_client_field(response, "server-leaving") != NULL) {
+        caller_note_leaving(request, stamp);
+    }
     soak_count(soak, "served");
     g_free(stamp);
     g_free(id);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -15,6 +15,7 @@
     fault_cb start;
     fault_cb end;     /* NULL: the fault is momentary */
     int target_count; /* number of VMs, servers or data centres it may hit */
+    int64_t min_us;   /* how long it lasts at least, beyond 0.2 s */
 };
 
 /* A fault in progress. */
@@ -186,11 +187,33 @@
     soak->servers[target].is_corrupting = true;
 }
 
+static void
+fault_server_back_off(struct soak *soak, int target, int64_t now_us)
+{
+    soak->servers[target].is_backing_off = true;
+}
+
+/* Says in its answers that it leaves; the store learns nothing of it. */
+static void
+fault_server_announce(struct soak *soak, int target, int64_t now_us)
+{
+    /* Callers see the headers of single backend servers only. */
+    int first = SOAK_SHARDS * SOAK_REPLICAS;
+    soak->servers[first + target].is_announcing = true;
+}
+
+static void
+fault_server_announce_end(struct soak *soak, int target, int64_t now_us)
+{
+    server_restart(&soak->servers[SOAK_SHARDS * SOAK_REPLICAS + target]);
+}
+
 static void
 fault_server_ok(struct soak *soak, int target, int64_t now_us)
 {
     soak->servers[target].is_slow = false;
     soak->servers[target].is_shedding = false;
+    soak->servers[target].is_backing_off = false;
     soak->servers[target].is_corrupting = false;
 }
 
@@ -206,6 +229,18 @@
     proxy_set_mode(soak->servers[target].proxy, PROXY_DELAY);
 }
 
+static void
+fault_server_repeat(struct soak *soak, int target, int64_t now_us)
+{
+    proxy_set_mode(soak->servers[target].proxy, PROXY_REPEAT);
+}
+
+static void
+fault_server_cut(struct soak *soak, int target, int64_t now_us)
+{
+    proxy_set_mode(soak->servers[target].proxy, PROXY_CUT);
+}
+
 static void
 fault_server_refuse(struct soak *soak, int target, int64_t now_us)
 {
@@ -304,6 +339,13 @@
     {"server drains", fault_server_drain, fault_server_restart, SOAK_SERVERS},
     {"server leaves", fault_server_deregister, fault_server_restart,
      SOAK_SERVERS},
+    {"server wants no requests", fault_server_back_off, fault_server_ok,
+     SOAK_SERVERS},
+    {"server says it leaves", fault_server_announce, fault_server_announce_end,
+     SOAK_SINGLE_SERVICES *SOAK_REPLICAS, 2 * SOAK_DRAIN_LIMIT_US},
+    {"server repeats", fault_server_repeat, fault_server_link_ok,
+     SOAK_SERVERS},
+    {"server cuts", fault_server_cut, fault_server_link_ok, SOAK_SERVERS},
     {"server restarts", fault_server_restart, NULL, SOAK_SERVERS},
     {"configuration", fault_configure, NULL, 1},
     {"configuration", fault_configure, NULL, 1},
@@ -331,8 +373,8 @@
     const struct fault_kind *kind =
         &fault_kinds[soak_random(soak, G_N_ELEMENTS(fault_kinds))];
     int target = (int)soak_random(soak, (uint32_t)kind->target_count);
-    int64_t duration_us =
-        SOAK_SECOND_US / 5 + soak_random(soak, FAULT_DURATION_SPREAD_US);
+    int64_t duration_us = SOAK_SECOND_US / 5 + kind->min_us +
+                          soak_random(soak, FAULT_DURATION_SPREAD_US);
     if (kind->end != NULL && fault_is_active(kind, target)) {
         return;
     }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -5,6 +5,8 @@
 
 #define PROXY_DELAY_MS 60
 #define PROXY_READ_BYTES 16384
+/* PROXY_REPEAT and PROXY_CUT hit one of this many chunks. */
+#define PROXY_PICK_ONE_IN 6
 
 /* One direction of a connection. */
 struct proxy_pipe {
@@ -31,6 +33,7 @@
     uv_tcp_t listener;
     struct sockaddr_in target;
     enum proxy_mode mode;
+    int64_t disturbed_us; /* last change of the mode or of its connections */
     GPtrArray *conns;
 };
 
@@ -116,6 +119,54 @@
     uv_close((uv_handle_t *)timer, proxy_on_delay_closed);
 }
 
+/* Sends the chunk after PROXY_DELAY_MS. */
+static void
+proxy_write_later(struct proxy_chunk *chunk)
+{
+    struct proxy_conn *conn = chunk->conn;
+    uv_timer_init(&conn->proxy->soak->loop, &chunk->timer);
+    chunk->timer.data = chunk;
+    conn->open_handles += 1;
+    uv_timer_start(&chunk->timer, proxy_on_delay, PROXY_DELAY_MS, 0);
+}
+
+static void
+proxy_on_cut_written(uv_write_t *write, int status)
+{
+    struct proxy_chunk *chunk = write->data;
+    struct proxy_conn *conn = chunk->conn;
+    proxy_on_written(write, status);
+    proxy_close(conn, false);
+}
+
+/* Sends the chunk and closes the connection in an orderly way. */
+static void
+proxy_write_and_close(struct proxy_chunk *chunk)
+{
+    chunk->write.data = chunk;
+    if (uv_write(&chunk->write, (uv_stream_t *)chunk->to, &chunk->buf, 1,
+                 proxy_on_cut_written) != 0) {
+        proxy_on_cut_written(&chunk->write, 0);
+    }
+}
+
+/* Whether a fault that hits some replies hits this chunk. */
+static bool
+proxy_is_picked(struct proxy *proxy, const struct proxy_pipe *pipe)
+{
+    return pipe->is_reply && soak_random(proxy->soak, PROXY_PICK_ONE_IN) == 0;
+}
+
+static struct proxy_chunk *
+proxy_chunk_new(struct proxy_pipe *pipe, const char *base, size_t bytes)
+{
+    struct proxy_chunk *chunk = g_new0(struct proxy_chunk, 1);
+    chunk->conn = pipe->conn;
+    chunk->to = pipe->to;
+    chunk->buf = uv_buf_init(g_memdup2(base, bytes), (unsigned)bytes);
+    return chunk;
+}
+
 static void
 proxy_relay(struct proxy_pipe *pipe, const char *base, size_t bytes)
 {
@@ -126,18 +177,20 @@
     if (is_dropped) {
         return;
     }
-    struct proxy_chunk *chunk = g_new0(struct proxy_chunk, 1);
-    chunk->conn = conn;
-    chunk->to = pipe->to;
-    chunk->buf = uv_buf_init(g_memdup2(base, bytes), (unsigned)bytes);
-    if (mode != PROXY_DELAY) {
+    struct proxy_chunk *chunk = proxy_chunk_new(pipe, base, bytes);
+    if (mode == PROXY_DELAY) {
+        proxy_write_later(chunk);
+    }
+    else if (mode == PROXY_CUT && proxy_is_picked(conn->proxy, pipe)) {
+        chunk->buf.len = soak_random(conn->proxy->soak, (uint32_t)bytes);
+        proxy_write_and_close(chunk);
+    }
+    else {
         proxy_write_chunk(chunk);
-        return;
     }
-    uv_timer_init(&conn->proxy->soak->loop, &chunk->timer);
-    chunk->timer.data = chunk;
-    conn->open_handles += 1;
-    uv_timer_start(&chunk->timer, proxy_on_delay, PROXY_DELAY_MS, 0);
+    if (mode == PROXY_REPEAT && proxy_is_picked(conn->proxy, pipe)) {
+        proxy_write_later(proxy_chunk_new(pipe, base, bytes));
+    }
 }
 
 static void
@@ -233,11 +286,19 @@
 proxy_set_mode(struct proxy *proxy, enum proxy_mode mode)
 {
     proxy->mode = mode;
+    proxy->disturbed_us = soak_now_us();
+}
+
+bool
+proxy_is_passing_since(const struct proxy *proxy, int64_t since_us)
+{
+    return proxy->mode == PROXY_PASS && proxy->disturbed_us < since_us;
 }
 
 void
 proxy_reset_connections(struct proxy *proxy)
 {
+    proxy->disturbed_us = soak_now_us();
     while (proxy->conns->len > 0) {
         proxy_close(g_ptr_array_index(proxy->conns, 0), true);
     }
@@ -246,6 +307,7 @@
 void
 proxy_silence_connections(struct proxy *proxy)
 {
+    proxy->disturbed_us = soak_now_us();
     for (guint i = 0; i < proxy->conns->len; i++) {
         ((struct proxy_conn *)g_ptr_array_index(proxy->conns, i))->is_silent =
             true;
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -51,9 +51,11 @@
         http_field_of("x-response-stamp", work->stamp),
         http_field_of("content-type", "application/octet-stream"),
         http_field_of("keep-alive", "timeout=5"),
+        http_field_of("server-leaving", "1"),
     };
-    http_server_respond_fields(work->http, 200, fields, G_N_ELEMENTS(fields),
-                               body, sizeof(body));
+    size_t count = G_N_ELEMENTS(fields) - (server->is_announcing ? 0 : 1);
+    http_server_respond_fields(work->http, 200, fields, count, body,
+                               sizeof(body));
 }
 
 static void
@@ -82,6 +84,25 @@
     http_server_respond_fields(http, status, fields, 2, "", 0);
 }
 
+/* Refuses the request and wants no more for SOAK_BACKOFF_S. */
+static void
+server_back_off(struct server *server, struct http_request *http,
+                const char *id)
+{
+    char retry_after[8];
+    g_snprintf(retry_after, sizeof(retry_after), "%d", SOAK_BACKOFF_S);
+    struct http_field fields[] = {
+        http_field_of("x-not-executed", "1"),
+        http_field_of("x-request-id", id),
+        http_field_of("retry-after", retry_after),
+    };
+    const struct vm *vm = caller_vm_of(server->soak, id);
+    if (vm != NULL) {
+        notice_on_backoff(server, vm);
+    }
+    http_server_respond_fields(http, 503, fields, G_N_ELEMENTS(fields), "", 0);
+}
+
 static void
 server_on_request(struct http_request *http, void *ctx)
 {
@@ -98,6 +119,10 @@
     else if (g_strcmp0(expected, server->id) != 0) {
         server_refuse(server, http, 421, id);
     }
+    else if (server->is_backing_off) {
+        caller_on_arrival(soak, server, id, http->target, false);
+        server_back_off(server, http, id);
+    }
     else if (server->is_shedding && soak_random(soak, 2) == 0) {
         caller_on_arrival(soak, server, id, http->target, false);
         server_refuse(server, http, 503, id);
@@ -181,6 +206,11 @@
     server->incarnation += 1;
     server->is_draining = false;
     server->leaving_since_us = 0;
+    server->is_announcing = false;
+    server->is_backing_off = false;
+    for (int i = 0; i < SOAK_VMS; i++) {
+        server->notices[i] = (struct server_notice){.leaving_us = 0};
+    }
     server_set_id(server);
     server_register(server);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -47,6 +47,8 @@
 #define SOAK_DRAIN_LIMIT_US (3 * SOAK_SECOND_US)
 #define SOAK_CONFIG_LIMIT_US (3 * SOAK_SECOND_US)
 #define SOAK_EVACUATE_LIMIT_US (5 * SOAK_SECOND_US)
+/* Retry-After of a backend server that wants no requests. */
+#define SOAK_BACKOFF_S 2
 #define SOAK_GRACE_US (6 * SOAK_SECOND_US)
 /* A time limit is checked at a VM only if neither the VM nor the store had a
  * fault for this long before the time from which the limit counts. */
@@ -66,6 +68,8 @@
     PROXY_REFUSE,  /* resets new connections */
     PROXY_SILENT,  /* drops all bytes and keeps connections open */
     PROXY_ONE_WAY, /* drops what the target sends */
+    PROXY_REPEAT,  /* sends some bytes of the target a second time, later */
+    PROXY_CUT,     /* closes within some chunks that the target sends */
 };
 struct proxy;
 struct proxy *proxy_new(struct soak *soak, const char *listen,
@@ -75,6 +79,8 @@
 /* Drops all bytes on the connections open at the call, until they are closed;
  * later connections are forwarded. */
 void proxy_silence_connections(struct proxy *proxy);
+/* Whether it has only forwarded bytes, with no fault since that time. */
+bool proxy_is_passing_since(const struct proxy *proxy, int64_t since_us);
 
 /* store.c: stand-in of the platform's store. Each VM reaches it through its
  * own proxy. */
@@ -94,6 +100,15 @@
 /* Drops the history of changes and answers all watches with 410. */
 void store_compact(struct store *store);
 
+/* What a backend server has told one VM. */
+struct server_notice {
+    uint32_t vm_incarnation; /* of the process that was told */
+    int64_t leaving_us; /* when the VM passed on that it leaves, 0: not yet */
+    int64_t backoff_us; /* when it last wanted no requests, 0: never */
+    int64_t backoff_until_us;
+    int backoff_arrivals; /* requests that came nevertheless */
+};
+
 /* server.c: stand-in of a backend server behind its proxy. */
 struct server {
     struct soak *soak;
@@ -111,6 +126,9 @@
                                * deleted; 0: neither */
     bool is_slow;
     bool is_shedding;
+    bool is_announcing;  /* each answer says that it leaves */
+    bool is_backing_off; /* rejects all requests and wants none */
+    struct server_notice notices[SOAK_VMS];
     bool is_corrupting; /* some answers carry the id of another request */
 };
 void server_open(struct soak *soak, struct server *server, int index);
@@ -121,6 +139,16 @@
 /* Replaces it by a process with a new id, which is registered at once. */
 void server_restart(struct server *server);
 
+struct vm;
+/* notice.c: the VM passed on an answer in which the backend server says that
+ * it leaves. */
+void notice_on_leaving(struct server *server, const struct vm *vm);
+/* The backend server rejects a request of the VM and wants no more. */
+void notice_on_backoff(struct server *server, const struct vm *vm);
+/* A request, which its caller sent at `sent_us`, arrived from the VM. */
+void notice_on_arrival(struct server *server, const struct vm *vm,
+                       const char *id, int64_t sent_us);
+
 /* vm.c: one gateway process. */
 struct vm {
     struct soak *soak;
@@ -152,6 +180,8 @@
  * it. */
 void caller_on_arrival(struct soak *soak, struct server *server,
                        const char *id, const char *target, bool is_executed);
+/* The VM that the caller sent the request to, or NULL for an unknown id. */
+struct vm *caller_vm_of(struct soak *soak, const char *id);
 /* Checks what is known only at the end: requests that were executed after a
  * response said that they were not, and the budget of extra sends. */
 void caller_check_final(struct soak *soak);
