share: a large fleet of equal VMs may send to cold backend servers

Cause: the cold rate of a backend server (1.5 times its rate plus 5 a second) is divided by the VMs and cut to whole requests, so with more than 35 equal VMs no VM got any: a shard whose replicas all started just now was missing everywhere until they were warm. Change: where the share is below one, some VMs get one request a second, chosen by their place among the strong VMs and the backend server; the places spread the limit evenly, and four fifths of it are used since VMs may disagree for a moment.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -297,6 +297,7 @@
     struct app *app = timer->data;
     int64_t now_us = app_now_us();
     app->gateway.vms = member_sender_count(&app->members, now_us);
+    app->gateway.place = member_strong_place(&app->members, now_us);
     app->gateway.is_config_stale = sync_is_stale(
         &app->sync, app->settings.config_apply_ms * 1000, now_us);
     sync_tick(&app->sync, &app->members, now_us);
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -61,9 +61,12 @@
     uint32_t used = is_same_second ? backend->cold.count : 0;
     /* Requests that wait for their connection will be sent too. */
     used += backend_connecting_count(backend);
+    struct share_place place = request->bounds.place;
+    /* Other VMs have the same place for another backend server. */
+    place.index += g_str_hash(backend->id) % MAX(place.count, 1);
     uint32_t share = share_cold_per_s(
         request->service->warmup_per_s, request->bounds.warmup_overshoot,
-        request->bounds.warmup_slack, request->bounds.vms);
+        request->bounds.warmup_slack, request->bounds.vms, place);
     return used >= share;
 }
 
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -461,6 +461,25 @@
                      : (all - strong) * MEMBER_WEAK_SHARE_DIVISOR;
 }
 
+struct share_place
+member_strong_place(struct members *members, int64_t now_us)
+{
+    member_update_ranking(members);
+    struct share_place place = {.index = 0};
+    bool is_found = false;
+    for (guint i = 0; i < members->strong_count; i++) {
+        const struct member_vm *vm = g_ptr_array_index(members->ranked, i);
+        bool is_self = vm == members->self;
+        if (!is_self && !member_is_sender(vm, now_us)) {
+            continue;
+        }
+        is_found = is_found || is_self;
+        place.count += 1;
+        place.index += is_found ? 0 : 1;
+    }
+    return is_found ? place : (struct share_place){.index = 0};
+}
+
 const struct member_vm *
 member_find_newer(const struct members *members, enum object_kind kind,
                   int64_t own, int64_t min_newer_us, int64_t now_us)
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -9,6 +9,9 @@
 /* A VM starts with a full budget, so with one restart it can spend its share
  * twice within one window. */
 #define SHARE_RESTART_FACTOR 2
+/* Part of a share below one that is used: VMs may disagree on their places for
+ * a moment. */
+#define SHARE_FRACTION_USED 0.8
 /* One request runs in a slot, and one waits for it. */
 #define SHARE_REQUESTS_PER_SLOT 2
 
@@ -37,10 +40,18 @@
 }
 
 uint32_t
-share_cold_per_s(double per_s, double overshoot, uint32_t slack, uint32_t vms)
+share_cold_per_s(double per_s, double overshoot, uint32_t slack, uint32_t vms,
+                 struct share_place place)
 {
-    double bound = per_s * overshoot + slack;
-    return (uint32_t)(bound / MAX(vms, 1));
+    double share = (per_s * overshoot + slack) / MAX(vms, 1);
+    if (share >= 1 || place.count == 0) {
+        return (uint32_t)share;
+    }
+    /* Places are spread evenly; the sum over all is the limit. */
+    double used = share * SHARE_FRACTION_USED;
+    uint32_t place_index = place.index % place.count;
+    return (uint32_t)(used * (place_index + 1)) -
+           (uint32_t)(used * place_index);
 }
 
 uint32_t
--- a/include/gateway/balancer.h
+++ b/include/gateway/balancer.h
@@ -7,6 +7,7 @@
 
 #include "gateway/backend.h"
 #include "gateway/config.h"
+#include "gateway/share.h"
 
 /*
  * Load balancing: chooses the replica (backend server) of a service that gets
@@ -19,7 +20,8 @@
 #define BALANCER_TRIED_MAX 6
 
 struct balancer_bounds {
-    uint32_t vms; /* VMs that may be sending, this one included */
+    uint32_t vms;             /* VMs that may be sending, this one included */
+    struct share_place place; /* of this VM among them */
     double warmup_overshoot;
     uint32_t warmup_slack;
     int64_t leaving_use_us; /* as in gateway_bounds */
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -140,7 +140,8 @@
     struct counter_set *counters;
     char *dc;
     struct gateway_bounds bounds;
-    uint32_t vms; /* VMs that may be sending, this one included */
+    uint32_t vms;             /* VMs that may be sending, this one included */
+    struct share_place place; /* of this VM among the strong ones */
     struct gateway_config *config; /* NULL before the first one */
     struct backend_set backends;
     GHashTable *drained_dcs;  /* set of names */
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/share.h"
+
 /*
  * Membership of the deployment: which VMs exist, which are alive, which of
  * them send requests to backend servers, and to whom this VM sends
@@ -202,6 +204,11 @@
  */
 uint32_t member_sender_count(struct members *members, int64_t now_us);
 
+/* Returns the place of this VM among the strong ones that count as senders; no
+ * place if it is not one of them. */
+struct share_place member_strong_place(struct members *members,
+                                       int64_t now_us);
+
 /* Returns a live VM that has reported newer changes of the kind than `own` for
  * at least `min_newer_us`, or NULL; prefers VMs of this data centre, then the
  * newest change. */
--- a/include/gateway/share.h
+++ b/include/gateway/share.h
@@ -25,10 +25,20 @@
  * and as many that wait there; at least 1. */
 uint32_t share_slot_requests(uint32_t slots, uint32_t vms);
 
-/* Requests a second to a cold backend server with a capacity of `per_s`. The
- * limit for all VMs is `per_s` times `overshoot`, plus `slack`. */
+/* Place of this VM among those that divide a share below one. */
+struct share_place {
+    uint32_t index;
+    uint32_t count; /* 0: this VM gets none of such a share */
+};
+
+/*
+ * Requests a second to a cold backend server with a capacity of `per_s`. The
+ * limit for all VMs is `per_s` times `overshoot`, plus `slack`. If that is
+ * less than one for each VM, some get one: `place` is this VM's place for that
+ * backend server.
+ */
 uint32_t share_cold_per_s(double per_s, double overshoot, uint32_t slack,
-                          uint32_t vms);
+                          uint32_t vms, struct share_place place);
 
 /* Extra sends (hedges and retries) to one service that may be made at once. */
 uint32_t share_extra_sends(uint32_t extra, uint32_t vms);
--- a/tests/gateway/soak_core.c
+++ b/tests/gateway/soak_core.c
@@ -208,7 +208,8 @@
     }
     uint32_t share =
         share_cold_per_s(WARMUP_PER_S, soak->gateway.bounds.warmup_overshoot,
-                         soak->gateway.bounds.warmup_slack, soak->gateway.vms);
+                         soak->gateway.bounds.warmup_slack, soak->gateway.vms,
+                         soak->gateway.place);
     SOAK_CHECK(backend->cold.count < share,
                "more requests than a cold backend server may get");
 }
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -77,10 +77,90 @@
     g_string_append_printf(
         out, "connections=%u cold_per_s=%u extra=%u",
         share_connections((uint32_t)script_number(argc, argv, 1), vms),
-        share_cold_per_s((double)script_number(argc, argv, 2), 1.5, 5, vms),
+        share_cold_per_s((double)script_number(argc, argv, 2), 1.5, 5, vms,
+                         (struct share_place){.index = 0}),
         share_extra_sends((uint32_t)script_number(argc, argv, 3), vms));
 }
 
+/* A limit that all VMs share, and the sum of their shares. */
+struct share_sum {
+    const char *name;
+    uint64_t limit;
+    uint64_t sum;
+    uint64_t without; /* VMs whose share is 0 */
+};
+
+/* Adds the share of `count` VMs. */
+static void
+share_sum_add(struct share_sum *sum, uint64_t share, uint32_t count)
+{
+    sum->sum += share * count;
+    sum->without += share == 0 ? count : 0;
+}
+
+/* Fills `members` as the VM `self` sees a fleet of strong and weak VMs. */
+static void
+share_fill_fleet(struct members *members, const char *self, uint32_t strong,
+                 uint32_t weak)
+{
+    member_init(members, self, *self == 's' ? 1000 : 100);
+    member_list_start(members);
+    for (uint32_t i = 0; i < strong + weak; i++) {
+        bool is_strong = i < strong;
+        char *name = g_strdup_printf("%c%u", is_strong ? 's' : 'w',
+                                     is_strong ? i : i - strong);
+        member_list_add(members, name, "127.0.0.1:1", "d1",
+                        is_strong ? 1000 : 100, 1);
+        g_free(name);
+    }
+    member_list_end(members, MS);
+}
+
+/* > share-sums CONNECTIONS COLD_PER_S EXTRA STRONG WEAK: the sums of the
+ * shares of a fleet of strong and weak VMs. A share of connections counts only
+ * while it is a whole one. */
+static void
+run_share_sums(void *ctx, int argc, char **argv, GString *out)
+{
+    uint32_t max = (uint32_t)script_number(argc, argv, 1);
+    double per_s = (double)script_number(argc, argv, 2);
+    uint32_t extra = (uint32_t)script_number(argc, argv, 3);
+    uint32_t counts[] = {(uint32_t)script_number(argc, argv, 4),
+                         (uint32_t)script_number(argc, argv, 5)};
+    struct share_sum sums[] = {
+        {.name = "connections", .limit = max},
+        {.name = "cold", .limit = (uint64_t)(per_s * 1.5 + 5)},
+        {.name = "extra", .limit = extra},
+    };
+    for (int is_weak = 0; is_weak < 2; is_weak++) {
+        if (counts[is_weak] == 0) {
+            continue;
+        }
+        struct members members;
+        share_fill_fleet(&members, is_weak ? "w0" : "s0", counts[0],
+                         counts[1]);
+        uint32_t vms = member_sender_count(&members, MS);
+        struct share_place place = member_strong_place(&members, MS);
+        member_clear(&members);
+        uint32_t connections =
+            share_has_connection(max, vms) ? share_connections(max, vms) : 0;
+        share_sum_add(&sums[0], connections, counts[is_weak]);
+        for (place.index = 0; place.index < counts[is_weak];
+             place.index += 1) {
+            share_sum_add(&sums[1],
+                          share_cold_per_s(per_s, 1.5, 5, vms, place), 1);
+        }
+        share_sum_add(&sums[2], share_extra_sends(extra, vms),
+                      counts[is_weak]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(sums); i++) {
+        g_string_append_printf(
+            out, "%s sum=%" PRIu64 " without=%" PRIu64 " %s\n", sums[i].name,
+            sums[i].sum, sums[i].without,
+            sums[i].sum <= sums[i].limit ? "fits" : "EXCEEDS");
+    }
+}
+
 /* > roster NOW CHANGE [first] [failing] [lacks] [recovered=MS]: prints the
  * call that is due, and lets it succeed. */
 static void
@@ -573,6 +653,7 @@
     {"increase-limit", run_increase_limit},
     {"finish", run_finish},
     {"share", run_share},
+    {"share-sums", run_share_sums},
     {"records", run_records},
     {"members-list", run_members_list},
     {"heartbeat", run_heartbeat},
