gateway: nothing acts after a pause on what has run out; ids are needed once seen

Cause, found by a search for the faults that operators of similar systems report: a request whose connection was established after its deadline, because the process had been paused, was still sent, also a non-idempotent one; a suspended VM's clock stood still, so ages and deadlines did not run out; a VM that had been paused for seconds takes itself for the first live one and could replace the roster by an older one, which brings back backend servers that have left; a late second copy of an answer without an id passed for the next answer of a reused connection, also one that says 'not run'. Change: expired parts are not sent (too_late); time is CLOCK_BOOTTIME; the roster is written only from a state younger than 3 s; once a connection had an answer with an id, the next one needs it. A response cut at each byte is never whole (test only, no fault found). The clock itself is not shown by a test: no suspension can be caused here.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -31,7 +31,9 @@
 app_now_us(void)
 {
     struct timespec now;
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    /* Counts the time for which the VM is suspended, unlike CLOCK_MONOTONIC:
+     * deadlines, ages and holds run out meanwhile. */
+    clock_gettime(CLOCK_BOOTTIME, &now);
     return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
--- a/gateway/link_io.c
+++ b/gateway/link_io.c
@@ -14,6 +14,8 @@
     struct backend_link *link;
     struct http_client_conn *conn;
     struct wire_sent_request sent; /* the request in flight */
+    bool is_gather;                /* of its route */
+    bool had_id[2]; /* a response had an id; by `is_gather` of the route */
 };
 
 static void
@@ -39,6 +41,7 @@
     struct wire_answer answer;
     wire_answer_init(&answer);
     app->wire->read_answer(response, &lio->sent, &answer);
+    lio->had_id[lio->is_gather] |= answer.has_id;
     if (response->rc != RC_OK) {
         gateway_on_lost(&app->gateway, lio->link, response->rc, app_now_us());
     }
@@ -87,10 +90,12 @@
     struct app *app = ctx;
     struct link_io *lio = link->io;
     g_free(lio->sent.id);
+    lio->is_gather = send->route->is_gather;
     lio->sent = (struct wire_sent_request){
         .id = g_strdup(send->request->id),
         .snapshot = send->route->snapshot,
         .target = send->target,
+        .must_have_id = lio->had_id[lio->is_gather],
     };
     GString *bytes = app->wire->write_request(link->backend, send);
     bool is_head = g_strcmp0(send->request->method, "HEAD") == 0;
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -270,12 +270,27 @@
     }
 }
 
+/* Whether the deadline has passed: the process was paused, or events came
+ * late. The caller no longer waits, and nothing is sent for it. */
+static bool
+part_is_expired(const struct part *part, int64_t now_us)
+{
+    return now_us >= part->request->deadline_us;
+}
+
 /* Tries backend servers until the request is sent or connecting. Queues the
  * part if the usable ones are at a limit; fails it if none can be used. */
 static void
 part_dispatch(struct part *part, int64_t now_us)
 {
     struct queue *queue = &part->request->gateway->queue;
+    if (part_is_expired(part, now_us)) {
+        queue_remove(queue, &part->queue_item);
+        if (!part_is_in_flight(part)) {
+            part_fail(part, RC_TOO_LATE);
+        }
+        return;
+    }
     while (part_may_attempt(part)) {
         struct backend *backend = NULL;
         int rc = part_choose(part, false, now_us, &backend);
@@ -449,14 +464,28 @@
     return due_us;
 }
 
+/* Returns RC_OK if the request may still be sent now that its connection is
+ * established, or why not. */
+static int
+part_check_send(const struct attempt *attempt, int64_t now_us)
+{
+    const struct gateway *gateway = attempt->part->request->gateway;
+    if (part_is_expired(attempt->part, now_us)) {
+        return RC_TOO_LATE;
+    }
+    return balancer_is_unwanted(attempt->backend,
+                                gateway->bounds.leaving_use_us, now_us)
+               ? RC_BACKOFF
+               : RC_OK;
+}
+
 void
 part_on_connected(struct attempt *attempt, int64_t now_us)
 {
-    struct gateway *gateway = attempt->part->request->gateway;
-    if (balancer_is_unwanted(attempt->backend, gateway->bounds.leaving_use_us,
-                             now_us)) {
+    int rc = part_check_send(attempt, now_us);
+    if (rc != RC_OK) {
         backend_release_link(attempt->link, BACKEND_IDLE_MAX_US, now_us);
-        part_on_failure(attempt, RC_BACKOFF, now_us);
+        part_on_failure(attempt, rc, now_us);
         return;
     }
     if (part_send(attempt, now_us) != RC_OK) {
@@ -502,7 +531,7 @@
     else if (rc == RC_WRONG_BACKEND) {
         backend_on_wrong_id(attempt->backend, now_us);
     }
-    else if (rc != RC_BACKOFF) {
+    else if (rc != RC_BACKOFF && rc != RC_TOO_LATE) {
         backend_on_failure(attempt->backend, now_us);
     }
     if (part->state != PART_OPEN || part_is_in_flight(part)) {
--- a/gateway/roster.c
+++ b/gateway/roster.c
@@ -16,6 +16,7 @@
                              ? state->recovered_us
                              : roster->first_listed_us;
     return state->is_first_live && !state->is_failing &&
+           state->age_us < ROSTER_AGE_MAX_US &&
            state->change != roster->written_change &&
            now_us - settled_us >= ROSTER_SETTLE_US &&
            now_us - roster->written_us >= ROSTER_WRITE_INTERVAL_US;
--- a/gateway/roster_io.c
+++ b/gateway/roster_io.c
@@ -225,6 +225,7 @@
         .is_first_live = member_is_first_live(&app->members, now_us),
         .has_list = cache->has_list && app->gateway.config != NULL,
         .is_failing = app->sync.failures > 0,
+        .age_us = sync_age_us(&app->sync, OBJECT_BACKENDS, now_us),
         .recovered_us = app->sync.recovered_us,
         .change = cache->change,
         .lacks_backends = roster_may_read(&roster_io->roster, now_us) &&
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -79,7 +79,8 @@
 int app_run(struct settings *settings, const char *settings_path,
             const struct wire *wire, const struct app_front *front);
 
-/* The monotonic clock in microseconds. */
+/* The monotonic clock in microseconds; it goes on while the VM is suspended.
+ */
 int64_t app_now_us(void);
 
 /* Runs sync_tick() at once, for changes that should not wait for the next
--- a/include/gateway/roster.h
+++ b/include/gateway/roster.h
@@ -21,6 +21,7 @@
     bool is_first_live;   /* this VM is the first live one by rank */
     bool has_list;        /* backend servers and configuration were read */
     bool is_failing;      /* the store fails */
+    int64_t age_us;       /* of what this VM knows of the backend servers */
     int64_t recovered_us; /* when the store first answered after an outage */
     int64_t change;       /* newest change of the backend servers */
     bool lacks_backends;  /* some configured service has no backend server */
@@ -49,6 +50,9 @@
 /* No write for this long after the first list and after an outage, while
  * entries may be missing. */
 #define ROSTER_SETTLE_US (5000 * 1000)
+/* A VM that knows only an older state, since it was paused or cut off, does
+ * not replace the roster. */
+#define ROSTER_AGE_MAX_US (3000 * 1000)
 /* A larger roster is not written: the store accepts up to a megabyte. */
 #define ROSTER_BODY_MAX_BYTES (1000 * 1000)
 
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -49,6 +49,9 @@
     char *id;
     int64_t snapshot;
     uint32_t target;
+    /* An earlier response to such a request on the connection had an id, so
+     * one without it may be a late second copy. */
+    bool must_have_id;
 };
 
 /* A decoded answer of a backend server and the memory that it points to. */
@@ -57,6 +60,7 @@
     GString *fields;  /* header lines to forward */
     GString *stamp;   /* signature of the answer */
     GByteArray *body; /* NULL: the body of the response is used */
+    bool has_id;      /* it names the request that it answers */
 };
 
 struct wire {
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -435,6 +435,15 @@
     }
 }
 
+/* > pause MS: the process does not run for this time; events come before the
+ * timers that are due. */
+static void
+run_pause(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->now_us += script_number(argc, argv, 1) * MS;
+}
+
 /* > answer-each TARGET LINK COUNT MS: sends COUNT requests, one at a time,
  * each of which the link answers after MS. */
 static void
@@ -569,6 +578,7 @@
     {"reply", run_reply},
     {"lost", run_lost},
     {"wait", run_wait},
+    {"pause", run_pause},
     {"split", run_split},
     {"fail-all", run_fail_all},
     {"counter", run_counter},
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -161,8 +161,8 @@
     }
 }
 
-/* > roster NOW CHANGE [first] [failing] [lacks] [recovered=MS]: prints the
- * call that is due, and lets it succeed. */
+/* > roster NOW CHANGE [first] [failing] [lacks] [recovered=MS] [age=MS]:
+ * prints the call that is due, and lets it succeed. */
 static void
 run_roster(void *ctx, int argc, char **argv, GString *out)
 {
@@ -179,6 +179,9 @@
         state.is_failing = state.is_failing || strcmp(argv[i], "failing") == 0;
         state.lacks_backends =
             state.lacks_backends || strcmp(argv[i], "lacks") == 0;
+        if (g_str_has_prefix(argv[i], "age=")) {
+            state.age_us = atoi(argv[i] + strlen("age=")) * MS;
+        }
         if (g_str_has_prefix(argv[i], "recovered=")) {
             state.recovered_us = atoi(argv[i] + strlen("recovered=")) * MS;
         }
--- a/tests/gateway/test_reset.c
+++ b/tests/gateway/test_reset.c
@@ -11,7 +11,8 @@
 
 /* Guards against a response without a length that is accepted as complete when
  * its connection is reset: libuv reports the end of the stream for a reset
- * too.
+ * too. Also against one that is accepted although its connection was closed
+ * within its head or body.
  */
 
 struct reset_test {
@@ -21,6 +22,8 @@
     uv_write_t write;
     struct http_client_conn *conn;
     bool is_reset; /* the peer resets the connection instead of closing it */
+    const char *text; /* what the peer sends */
+    size_t text_bytes;
     int rc;
     size_t body_bytes;
 };
@@ -60,8 +63,7 @@
 on_request(uv_stream_t *peer, ssize_t nread, const uv_buf_t *buf)
 {
     struct reset_test *test = peer->data;
-    static char text[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab";
-    uv_buf_t out = uv_buf_init(text, strlen(text));
+    uv_buf_t out = uv_buf_init((char *)test->text, (unsigned)test->text_bytes);
     if (nread <= 0) {
         return;
     }
@@ -112,10 +114,15 @@
     uv_loop_close(&test->loop);
 }
 
+#define UNTIL_CLOSE "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab"
+
 static void
 test_closed(void **state)
 {
-    struct reset_test test = {.is_reset = false};
+    struct reset_test test = {
+        .text = UNTIL_CLOSE,
+        .text_bytes = strlen(UNTIL_CLOSE),
+    };
     run(&test);
     assert_int_equal(test.rc, RC_OK);
     assert_int_equal(test.body_bytes, 2);
@@ -124,17 +131,50 @@
 static void
 test_reset(void **state)
 {
-    struct reset_test test = {.is_reset = true};
+    struct reset_test test = {
+        .is_reset = true,
+        .text = UNTIL_CLOSE,
+        .text_bytes = strlen(UNTIL_CLOSE),
+    };
     run(&test);
     assert_int_equal(test.rc, RC_LINK_LOST);
 }
 
+/* The peer closes after each proper prefix of a response. One that ends with
+ * its connection is whole as soon as its head is. */
+static void
+test_cut(void **state)
+{
+    static const struct {
+        const char *text;
+        size_t first_whole; /* bytes from which the response is accepted */
+    } responses[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", 40},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\n\r\n",
+         59},
+        {UNTIL_CLOSE, strlen(UNTIL_CLOSE) - 2},
+    };
+    for (size_t i = 0; i < sizeof(responses) / sizeof(responses[0]); i++) {
+        for (size_t cut = 1; cut <= strlen(responses[i].text); cut++) {
+            struct reset_test test = {
+                .text = responses[i].text,
+                .text_bytes = cut,
+            };
+            run(&test);
+            assert_int_equal(test.rc == RC_OK,
+                             cut >= responses[i].first_whole);
+        }
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_closed),
         cmocka_unit_test(test_reset),
+        cmocka_unit_test(test_cut),
     };
     return cmocka_run_group_tests_name("gateway-reset", tests, NULL, NULL);
 }
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -165,8 +165,9 @@
     g_free(path);
 }
 
-/* > answer RC STATUS BODY FIELD...: decodes a backend server's response to
- * request q1; RC is the result of the HTTP client */
+/* > answer|answer-with-id RC STATUS BODY FIELD...: decodes a backend server's
+ * response to request q1, which must have an id for the second name; RC is the
+ * result of the HTTP client */
 static void
 run_answer(void *ctx, int argc, char **argv, GString *out)
 {
@@ -192,7 +193,10 @@
         .is_keepalive = true,
     };
     char id[] = "q1";
-    struct wire_sent_request sent = {.id = id};
+    struct wire_sent_request sent = {
+        .id = id,
+        .must_have_id = strcmp(argv[0], "answer-with-id") == 0,
+    };
     struct wire_answer read;
     wire_answer_init(&read);
     platform_read_answer(&response, &sent, &read);
@@ -369,6 +373,7 @@
     {"path", run_path},
     {"backend", run_backend},
     {"config", run_config},
+    {"answer-with-id", run_answer},
     {"vm", run_vm},
     {"write-vm", run_write_vm},
     {"roster", run_roster},
