--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -49,6 +49,51 @@
     wire_objects_clear(&objects);
 }
 
+/* > odd-list SPEC: decodes a list in which the object "odd" between two others
+ * has this spec; `not-utf8` and `nested-DEPTH` stand for such specs. Prints
+ * the objects, and what is left of the odd one. */
+static void
+run_odd_list(void *ctx, int argc, char **argv, GString *out)
+{
+    GString *spec = g_string_new(argv[1]);
+    if (strcmp(argv[1], "not-utf8") == 0) {
+        g_string_assign(spec, "{\"a\":\"\xff\xc0\"}");
+    }
+    if (g_str_has_prefix(argv[1], "nested-")) {
+        int depth = atoi(argv[1] + strlen("nested-"));
+        g_string_assign(spec, "");
+        for (int i = 0; i < 2 * depth; i++) {
+            g_string_append_c(spec, i < depth ? '[' : ']');
+        }
+    }
+    char *text = g_strdup_printf(
+        "{\"items\":[{\"meta\":{\"name\":\"a\",\"revision\":1},\"spec\":{}},"
+        "{\"meta\":{\"name\":\"odd\",\"revision\":2},\"spec\":%s},"
+        "{\"meta\":{\"name\":\"b\",\"revision\":3},\"spec\":{}}],"
+        "\"current_rev\":9}",
+        spec->str);
+    struct wire_objects objects;
+    struct sync_fetch fetch = {.is_watch = false};
+    platform_read_objects(&fetch, 200, text, strlen(text), &objects);
+    g_string_append(out, rc_name(objects.reply.rc));
+    for (size_t i = 0; i < objects.reply.object_count; i++) {
+        const struct cache_object *object = &objects.reply.objects[i];
+        struct backend_entry entry;
+        char *copy = json_dumps(object->spec, JSON_COMPACT);
+        bool is_odd = strcmp(object->name, "odd") == 0;
+        g_string_append_printf(out, " %s", object->name);
+        if (is_odd) {
+            g_string_append_printf(
+                out, "=%s (%s)", copy != NULL ? copy : "none",
+                rc_name(platform_read_backend(object, &entry)));
+        }
+        free(copy);
+    }
+    wire_objects_clear(&objects);
+    g_string_free(spec, TRUE);
+    g_free(text);
+}
+
 /* > path list|watch KIND [AFTER | REVISION]: prints the path of the fetch */
 static void
 run_path(void *ctx, int argc, char **argv, GString *out)
@@ -370,6 +415,7 @@
 
 static const struct script_command commands[] = {
     {"objects", run_objects},
+    {"odd-list", run_odd_list},
     {"path", run_path},
     {"backend", run_backend},
     {"config", run_config},
