--- a/gateway/app.c
+++ b/gateway/app.c
@@ -452,6 +452,7 @@
         app->settings_mtime_ns = app_settings_mtime_ns(app);
     }
     app->counters = counter_set_new();
+    app->started_us = app_now_us();
     app->start = app_random_start_id();
     app->random_state = app->start;
     app->peer_address = g_strdup_printf("%s:%" PRId64, app->settings.ip,
--- a/gateway/member.c
+++ b/gateway/member.c
@@ -298,6 +298,15 @@
                                         : MEMBER_HEARTBEAT_INTERVAL_US;
 }
 
+int64_t
+member_next_heartbeat_us(const struct members *members, bool is_ready,
+                         int64_t uptime_us)
+{
+    bool is_starting = !is_ready && uptime_us < MEMBER_STARTING_US;
+    return is_starting ? MEMBER_HEARTBEAT_STARTING_INTERVAL_US
+                       : member_heartbeat_interval_us(members);
+}
+
 static int64_t
 member_dead_timeout_us(const struct members *members)
 {
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -165,8 +165,10 @@
 void
 peer_io_tick(struct peer_io *peers, int64_t now_us)
 {
+    const struct app *app = peers->app;
     if (now_us - peers->heartbeat_us >=
-        member_heartbeat_interval_us(&peers->app->members)) {
+        member_next_heartbeat_us(&app->members, app_is_ready(app),
+                                 now_us - app->started_us)) {
         peers->heartbeat_us = now_us;
         peer_io_send_heartbeats(peers);
     }
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -70,6 +70,7 @@
     int64_t settings_mtime_ns;
     int64_t settings_checked_us;
     int64_t totals_us;   /* when the totals were last logged */
+    int64_t started_us;  /* when the process started */
     int64_t stopping_us; /* when SIGTERM was received, 0: not */
 };
 
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -120,6 +120,11 @@
 #define MEMBER_HEARTBEAT_LARGE_INTERVAL_US (1000 * 1000)
 #define MEMBER_LARGE_FLEET_COUNT 16
 #define MEMBER_DEAD_MISSED_HEARTBEATS 4
+/* A VM that starts together with others gets its state from the first of them
+ * that has it, if that one knows of it: for some seconds it sends heartbeats
+ * at this interval until it is ready. */
+#define MEMBER_HEARTBEAT_STARTING_INTERVAL_US (200 * 1000)
+#define MEMBER_STARTING_US (3000 * 1000)
 /* How often a dead VM is sent a heartbeat. */
 #define MEMBER_PROBE_INTERVAL_US (5 * 1000 * 1000)
 /* Number of hubs: that of the strong VMs, within these limits. */
@@ -152,6 +157,11 @@
 /* Time between two heartbeats to a VM. */
 int64_t member_heartbeat_interval_us(const struct members *members);
 
+/* The time after which this VM sends its next heartbeat: shorter while it has
+ * just started and is not ready. */
+int64_t member_next_heartbeat_us(const struct members *members, bool is_ready,
+                                 int64_t uptime_us);
+
 /*
  * Returns a listed VM whose object has expired, or NULL. Always NULL unless
  * this VM is the first live one by rank, so that only one VM deletes the
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -365,6 +365,17 @@
     g_string_append(out, vm != NULL ? vm->name : "none");
 }
 
+/* > next-heartbeat READY UPTIME_MS: prints the delay in ms. */
+static void
+run_next_heartbeat(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    int64_t delay_us = member_next_heartbeat_us(
+        &test->members, script_number(argc, argv, 1) != 0,
+        script_number(argc, argv, 2) * MS);
+    g_string_append_printf(out, "%" PRId64, delay_us / MS);
+}
+
 /* > heartbeat-targets NOW: prints the VMs that get a heartbeat. */
 static void
 run_heartbeat_targets(void *ctx, int argc, char **argv, GString *out)
@@ -670,6 +681,7 @@
     {"reset", run_reset},
     {"settings", run_settings},
     {"peer-state", run_peer_state},
+    {"next-heartbeat", run_next_heartbeat},
     {"heartbeat-targets", run_heartbeat_targets},
     {"must-reply", run_must_reply},
     {"object-revision", run_object_revision},
