gateway: events of links and timers of parts in files of their own

Change: link_event.c has what an answer, a lost or a new connection changes; part_timer.c has hedges and attempts that time out; heartbeat.c reads optional arrays in one place. No behaviour changed. Result: all scripted tests pass with their output unchanged.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -4,7 +4,6 @@
 #include "common/rc.h"
 #include "gateway/request.h"
 #include "gateway/member.h"
-#include "gateway/record.h"
 #include "gateway/share.h"
 
 /* Weight of one part in a route's moving average (1 in 64), and how many times
@@ -238,17 +237,14 @@
     return best;
 }
 
-/* Advances a request after one of its parts has changed, and makes its timers
- * due: when they run next may depend on the part. */
-static void
+void
 gateway_advance(struct request *request, int64_t now_us)
 {
     request->due_us = MIN(request->due_us, now_us);
     request_advance(request, now_us);
 }
 
-/* Sends queued parts of the service to backend servers that are free now. */
-static void
+void
 gateway_dispatch(struct gateway *gateway, const char *service, int64_t now_us)
 {
     struct part *part = NULL;
@@ -278,7 +274,7 @@
     g_list_free(services);
 }
 
-static const struct service *
+const struct service *
 gateway_find_service(const struct gateway *gateway, const char *name)
 {
     return gateway->config != NULL
@@ -286,210 +282,13 @@
                : NULL;
 }
 
-/* Closes idle links to the backend server if there are more VMs than it has
- * connections. */
-static void
-gateway_close_surplus_links(struct gateway *gateway, struct backend *backend)
-{
-    const struct service *service =
-        gateway_find_service(gateway, backend->service);
-    if (service != NULL &&
-        !share_has_connection(service->connections_max, gateway->vms)) {
-        backend_close_idle_links(&gateway->backends, backend);
-    }
-}
-
-void
-gateway_on_connected(struct gateway *gateway, struct backend_link *link,
-                     int rc, int64_t now_us)
-{
-    struct attempt *attempt = link->attempt;
-    if (rc != RC_OK) {
-        gateway_on_lost(gateway, link, rc, now_us);
-        return;
-    }
-    if (attempt == NULL) {
-        struct backend *backend = backend_ref(link->backend);
-        backend_release_link(link, BACKEND_IDLE_MAX_US, now_us);
-        gateway_dispatch(gateway, backend->service, now_us);
-        gateway_close_surplus_links(gateway, backend);
-        backend_unref(backend);
-        return;
-    }
-    struct request *request = attempt->part->request;
-    request_hold(request);
-    part_on_connected(attempt, now_us);
-    gateway_advance(request, now_us);
-    request_release(request);
-}
-
-/* Keeps the link of an answered request for reuse, or closes it. */
-static void
-gateway_release_link(struct gateway *gateway, struct backend_link *link,
-                     const struct backend_answer *answer, int64_t now_us)
-{
-    struct backend *backend = link->backend;
-    bool is_usable =
-        answer->is_reusable && !backend->is_draining && !backend->is_removed;
-    if (is_usable) {
-        backend_release_link(link, answer->keepalive_us, now_us);
-    }
-    else {
-        backend_close_link(&gateway->backends, link);
-    }
-}
-
-/* Returns how long a backend server of the service is cold after its start, 0
- * if the service is not configured. */
-static int64_t
+int64_t
 gateway_warmup_us(const struct gateway *gateway, const char *service)
 {
     const struct service *declared = gateway_find_service(gateway, service);
     return declared != NULL ? declared->warmup_us : 0;
 }
 
-/* Notes that the backend server is leaving. If another one answered at its
- * address, it is that one that is leaving. */
-static void
-gateway_on_leaving(struct gateway *gateway, const struct backend *backend,
-                   const struct backend_answer *answer, int64_t now_us)
-{
-    const struct backend *leaving =
-        answer->rc == RC_WRONG_BACKEND
-            ? backend_find_at_same_address(&gateway->backends, backend)
-            : backend;
-    if (leaving == NULL ||
-        !backend_on_leaving(&gateway->backends, leaving->id,
-                            leaving->started_unix_ms, now_us)) {
-        return;
-    }
-    counter_add(gateway->counters, "gateway_leaving", "answer");
-    log_info("backend", "backend server says it is leaving id=%s service=%s",
-             leaving->id, leaving->service);
-}
-
-/*
- * Obeys the Retry-After of a rejection. With 503 the backend server wants no
- * requests at all. 429 concerns the rate of requests: others are preferred
- * meanwhile, but a request that only this one can serve may still be accepted.
- */
-static void
-gateway_on_retry_after(struct gateway *gateway, struct backend *backend,
-                       const struct backend_answer *answer, int64_t now_us)
-{
-    if (answer->status == 429) {
-        backend_prefer_others(backend, answer->retry_after_us, now_us);
-        counter_add(gateway->counters, "gateway_backoffs", "429");
-        return;
-    }
-    if (answer->status != 503) {
-        return;
-    }
-    counter_add(gateway->counters, "gateway_backoffs", "503");
-    if (notice_on_backoff(&backend->notice, answer->retry_after_us, now_us)) {
-        log_info("backend",
-                 "backend server wants no requests id=%s service=%s "
-                 "for_ms=%" G_GINT64_FORMAT,
-                 backend->id, backend->service, answer->retry_after_us / 1000);
-    }
-}
-
-/* Updates the state of the backend server from its answer. */
-static void
-gateway_update_backend(struct gateway *gateway, struct backend_link *link,
-                       const struct backend_answer *answer, int64_t now_us)
-{
-    struct backend *backend = link->backend;
-    if (answer->start != 0) {
-        backend_record_start(backend, answer->start,
-                             gateway_warmup_us(gateway, backend->service),
-                             now_us);
-    }
-    if (answer->warmup_us >= 0) {
-        backend->cold_until_us = now_us + answer->warmup_us;
-    }
-    if (answer->is_leaving) {
-        gateway_on_leaving(gateway, backend, answer, now_us);
-    }
-    if (answer->retry_after_us > 0) {
-        gateway_on_retry_after(gateway, backend, answer, now_us);
-    }
-    if (answer->rc == RC_OK) {
-        backend_on_answer(backend, now_us - link->state_since_us);
-    }
-}
-
-/* Completes the attempt with its answer; advances or ends its request. */
-static void
-gateway_handle_answer(struct gateway *gateway, struct attempt *attempt,
-                      const struct backend_answer *answer, int64_t now_us)
-{
-    struct part *part = attempt->part;
-    struct request *request = part->request;
-    request_hold(request);
-    if (answer->rc != RC_OK) {
-        part_on_failure(attempt, answer->rc, now_us);
-        if (part->state == PART_FAILED && answer->rc == RC_BACKEND_ERROR &&
-            !request->route->is_gather) {
-            request_answer_single(request, answer, now_us);
-            request_release(request);
-            return;
-        }
-    }
-    else {
-        part_on_success(attempt, answer, now_us);
-        if (!request->route->is_gather) {
-            request_answer_single(request, answer, now_us);
-            request_release(request);
-            return;
-        }
-        if (request->route->has_records) {
-            record_add(request->records, answer->body, answer->body_bytes);
-        }
-        else {
-            g_byte_array_append(request->records, answer->body,
-                                (guint)answer->body_bytes);
-        }
-    }
-    gateway_advance(request, now_us);
-    request_release(request);
-}
-
-void
-gateway_on_answer(struct gateway *gateway, struct backend_link *link,
-                  const struct backend_answer *answer, int64_t now_us)
-{
-    struct attempt *attempt = link->attempt;
-    struct backend *backend = backend_ref(link->backend);
-    gateway_update_backend(gateway, link, answer, now_us);
-    gateway_release_link(gateway, link, answer, now_us);
-    if (attempt != NULL) {
-        gateway_handle_answer(gateway, attempt, answer, now_us);
-    }
-    gateway_dispatch(gateway, backend->service, now_us);
-    gateway_close_surplus_links(gateway, backend);
-    backend_unref(backend);
-}
-
-void
-gateway_on_lost(struct gateway *gateway, struct backend_link *link, int rc,
-                int64_t now_us)
-{
-    struct attempt *attempt = link->attempt;
-    struct backend *backend = backend_ref(link->backend);
-    backend_close_link(&gateway->backends, link);
-    if (attempt != NULL) {
-        counter_add(gateway->counters, "gateway_links_lost", rc_name(rc));
-        struct request *request = attempt->part->request;
-        request_hold(request);
-        part_on_failure(attempt, rc, now_us);
-        gateway_advance(request, now_us);
-        request_release(request);
-    }
-    gateway_dispatch(gateway, backend->service, now_us);
-    backend_unref(backend);
-}
-
 void
 gateway_on_new_backend(struct gateway *gateway, const char *id, int64_t now_us)
 {
@@ -498,20 +297,6 @@
         now_us + gateway_warmup_us(gateway, backend->service);
 }
 
-void
-gateway_on_peer_leaving(struct gateway *gateway, const char *id,
-                        int64_t started_unix_ms, int64_t now_us)
-{
-    if (!backend_on_leaving(&gateway->backends, id, started_unix_ms, now_us)) {
-        return;
-    }
-    counter_add(gateway->counters, "gateway_leaving", "peer");
-    log_info("backend",
-             "another VM says that the backend server is leaving "
-             "id=%s",
-             id);
-}
-
 void
 gateway_on_dc_undrained(struct gateway *gateway, const char *dc,
                         int64_t now_us)
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -137,21 +137,29 @@
     return true;
 }
 
+/* Returns an array that older senders omit, or NULL if it is missing or of
+ * another type. */
+static const msgpack_object_array *
+heartbeat_optional_array(const msgpack_object *root,
+                         enum heartbeat_field field)
+{
+    if (root->via.array.size <= field ||
+        root->via.array.ptr[field].type != MSGPACK_OBJECT_ARRAY) {
+        return NULL;
+    }
+    return &root->via.array.ptr[field].via.array;
+}
+
 /* Ages that are missing or malformed become MEMBER_AGE_NONE. */
 static void
 heartbeat_read_ages(const msgpack_object *root,
                     struct member_heartbeat *heartbeat)
 {
-    const msgpack_object *list =
-        root->via.array.size > HEARTBEAT_FIELD_AGES
-            ? &root->via.array.ptr[HEARTBEAT_FIELD_AGES]
-            : NULL;
-    uint32_t count = list != NULL && list->type == MSGPACK_OBJECT_ARRAY
-                         ? list->via.array.size
-                         : 0;
+    const msgpack_object_array *list =
+        heartbeat_optional_array(root, HEARTBEAT_FIELD_AGES);
+    uint32_t count = list != NULL ? list->size : 0;
     for (uint32_t kind = 0; kind < OBJECT_KIND_COUNT; kind++) {
-        const msgpack_object *field =
-            kind < count ? &list->via.array.ptr[kind] : NULL;
+        const msgpack_object *field = kind < count ? &list->ptr[kind] : NULL;
         bool is_present = field != NULL && heartbeat_is_number(field) &&
                           field->via.u64 <= INT64_MAX;
         heartbeat->ages_us[kind] =
@@ -163,16 +171,12 @@
 static void
 heartbeat_read_leaving(const msgpack_object *root, struct heartbeat *out)
 {
-    const msgpack_object *list =
-        root->via.array.size > HEARTBEAT_FIELD_LEAVING
-            ? &root->via.array.ptr[HEARTBEAT_FIELD_LEAVING]
-            : NULL;
-    uint32_t count = list != NULL && list->type == MSGPACK_OBJECT_ARRAY
-                         ? list->via.array.size
-                         : 0;
+    const msgpack_object_array *list =
+        heartbeat_optional_array(root, HEARTBEAT_FIELD_LEAVING);
+    uint32_t count = list != NULL ? list->size : 0;
     for (uint32_t i = 0; i < count && out->leaving_count < NOTICE_TOLD_MAX;
          i++) {
-        const msgpack_object *item = &list->via.array.ptr[i];
+        const msgpack_object *item = &list->ptr[i];
         if (item->type != MSGPACK_OBJECT_ARRAY || item->via.array.size < 2 ||
             !heartbeat_is_number(&item->via.array.ptr[1]) ||
             item->via.array.ptr[1].via.u64 > INT64_MAX) {
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -6,8 +6,9 @@
 
 /*
  * Internal interface of the request path: requests, their parts (one per
- * shard) and the attempts of each part. Only gateway.c, request.c,
- * request_start.c and part.c include it; other files use gateway/gateway.h.
+ * shard) and the attempts of each part. Only gateway.c, link_event.c,
+ * request.c, request_start.c, part.c and part_timer.c include it; other files
+ * use gateway/gateway.h.
  * A request belongs to its gateway and is used on the event loop only. Times
  * are microseconds of the gateway's monotonic clock.
  */
@@ -74,6 +75,10 @@
     bool is_held;    /* in use up the call stack, see request_hold() */
 };
 
+/* An attempt unanswered for this long, which is longer than the usual pauses
+ * of a backend server, counts as a failure of that server. */
+#define PART_OVERDUE_US (250 * 1000)
+
 /* Sends the first attempt of the part, or queues the part. */
 void part_start(struct part *part, int64_t now_us);
 
@@ -98,6 +103,26 @@
 void part_on_success(struct attempt *attempt,
                      const struct backend_answer *answer, int64_t now_us);
 
+struct attempt *part_get_attempt(struct part *part, uint32_t i);
+
+/* Whether any attempt of the part was sent. */
+bool part_was_sent(const struct part *part);
+
+/* Whether the route's limit on attempts allows another one. */
+bool part_may_attempt(const struct part *part);
+
+/* As balancer_choose() for the next attempt of the part. */
+int part_choose(struct part *part, bool is_hedge, int64_t now_us,
+                struct backend **out);
+
+/* Sends an attempt to the backend server, or connects for it. Returns whether
+ * that could be started. */
+bool part_start_attempt(struct part *part, struct backend *backend,
+                        int64_t now_us);
+
+/* Closes the attempt's link. */
+void part_drop_link(struct attempt *attempt);
+
 /* Abandons all open attempts of the part and removes it from the queue.
  * Links that get no answer are closed after `keep_us`. */
 void part_abandon(struct part *part, int64_t keep_us, int64_t now_us);
@@ -124,6 +149,22 @@
 /* Runs the timers of the request and of its parts that are due. */
 void request_tick(struct request *request, int64_t now_us);
 
+/* Advances a request after one of its parts has changed, and makes its timers
+ * due: when they run next may depend on the part. */
+void gateway_advance(struct request *request, int64_t now_us);
+
+/* Sends queued parts of the service to backend servers that are free now. */
+void gateway_dispatch(struct gateway *gateway, const char *service,
+                      int64_t now_us);
+
+/* Returns NULL if no configuration declares the service. */
+const struct service *gateway_find_service(const struct gateway *gateway,
+                                           const char *name);
+
+/* Returns how long a backend server of the service is cold after its start, 0
+ * if the service is not configured. */
+int64_t gateway_warmup_us(const struct gateway *gateway, const char *service);
+
 /* Keeps the memory of the request until request_release(), also if the request
  * is closed meanwhile. Holds do not nest. */
 void request_hold(struct request *request);
