--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -62,7 +62,8 @@
     /* Requests that wait for their connection will be sent too. */
     used += backend_connecting_count(backend);
     struct share_place place = request->bounds.place;
-    /* Other VMs have the same place for another backend server. */
+    /* Shifted by the backend server, so that each VM may send to some of
+     * them. */
     place.index += g_str_hash(backend->id) % MAX(place.count, 1);
     uint32_t share = share_cold_per_s(
         request->service->warmup_per_s, request->bounds.warmup_overshoot,
