--- a/gateway/app.c
+++ b/gateway/app.c
@@ -306,9 +306,6 @@
     app->gateway.backends_as_of_us =
         now_us - sync_age_us(&app->sync, OBJECT_BACKENDS, now_us);
     backend_tick(&app->gateway.backends, now_us);
-    if (app_is_ready(app) && app->gateway.place.count > 0) {
-        gateway_prewarm(&app->gateway, now_us);
-    }
     peer_io_tick(app->peers, now_us);
     store_io_tick(app->store, now_us);
     roster_io_tick(app->roster, now_us);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -56,7 +56,6 @@
     g_queue_init(&gateway->requests);
     queue_init(&gateway->queue);
     admit_init(&gateway->admit);
-    prewarm_init(&gateway->prewarm);
     backend_set_init(&gateway->backends, &callbacks->link, ctx);
 }
 
@@ -68,7 +67,6 @@
     }
     queue_clear(&gateway->queue);
     admit_clear(&gateway->admit);
-    prewarm_clear(&gateway->prewarm);
     backend_set_clear(&gateway->backends);
     gateway_config_unref(gateway->config);
     g_hash_table_destroy(gateway->drained_dcs);
@@ -119,7 +117,6 @@
              gateway->config != NULL ? gateway->config->version : 0,
              g_hash_table_size(config->routes),
              g_hash_table_size(config->services));
-    prewarm_on_config(&gateway->prewarm, gateway->config, config);
     gateway_config_unref(gateway->config);
     gateway->config = config;
     gateway_prune(gateway);
@@ -316,20 +313,6 @@
     }
 }
 
-void
-gateway_prewarm(struct gateway *gateway, int64_t now_us)
-{
-    const struct prewarm_bounds bounds = {
-        .dc = gateway->dc,
-        .drained_dcs = gateway->drained_dcs,
-        .vms = gateway->vms,
-    };
-    if (gateway->config != NULL) {
-        prewarm_tick(&gateway->prewarm, &gateway->backends, &bounds,
-                     gateway->config, now_us);
-    }
-}
-
 void
 gateway_tick(struct gateway *gateway, int64_t now_us)
 {
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -11,7 +11,6 @@
 #include "gateway/backend.h"
 #include "gateway/balancer.h"
 #include "gateway/config.h"
-#include "gateway/prewarm.h"
 #include "gateway/queue.h"
 #include "common/hedge.h"
 
@@ -153,7 +152,6 @@
     struct queue queue;       /* parts that wait for a backend server */
     int64_t last_dispatch_us; /* when all queued parts were last tried */
     struct admit admit;
-    struct prewarm prewarm;
     uint64_t request_serial;
     bool is_config_stale; /* unknown routes may exist: callers should retry */
     int64_t backends_as_of_us; /* time up to which `backends` is current, for
@@ -218,10 +216,6 @@
 void gateway_on_dc_undrained(struct gateway *gateway, const char *dc,
                              int64_t now_us);
 
-/* Opens links to shards before the first search needs them; for VMs that take
- * searches. */
-void gateway_prewarm(struct gateway *gateway, int64_t now_us);
-
 /* Runs the timers that are due; to be called at gateway_due_us(). */
 void gateway_tick(struct gateway *gateway, int64_t now_us);
 
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -435,15 +435,6 @@
     }
 }
 
-/* > prewarm: opens links to shards that wait for one. */
-static void
-run_prewarm(void *ctx, int argc, char **argv, GString *out)
-{
-    struct core_test *test = ctx;
-    test->out = out;
-    gateway_prewarm(&test->gateway, test->now_us);
-}
-
 /* > pause MS: the process does not run for this time; events come before the
  * timers that are due. */
 static void
@@ -588,7 +579,6 @@
     {"lost", run_lost},
     {"wait", run_wait},
     {"pause", run_pause},
-    {"prewarm", run_prewarm},
     {"split", run_split},
     {"fail-all", run_fail_all},
     {"counter", run_counter},
