--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -31,6 +31,7 @@
 CONFIG_APPLY_MS = 3000
 HEARTBEAT_S = 1.2
 MEMORY_MB = 260
+ZONES = ("widzew", "baluty", "gorna")
 READY_TIMEOUT_S = 8.0
 
 EXIT_HELD = 0
@@ -157,13 +158,15 @@
         self._publish(kind, objects[name], False)
         return self.revision
 
-    def set_quietly(self, kind, name, spec):
-        """Replaces the spec without a new revision: only `seq` changed."""
-        item = self.kinds.get(kind, {}).get(name)
-        if item is None:
-            self.put(kind, name, spec)
-        else:
+    def beat(self, name, spec):
+        """A backend server's heartbeat. The entry changes only if more than
+        `seq` does."""
+        item = self.kinds.get("servers", {}).get(name)
+        old = dict(item["spec"] or {}, seq=spec["seq"]) if item else None
+        if old == spec:
             item["spec"] = spec
+        else:
+            self.put("servers", name, spec)
 
     def delete(self, kind, name):
         item = self.kinds.get(kind, {}).pop(name, None)
@@ -299,7 +302,7 @@
     async def _beat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self.bed.store.set_quietly("servers", self.id, self.entry())
+            self.bed.store.beat(self.id, self.entry())
 
     def crash(self):
         """The process ends and says nothing; the store drops its entry after
@@ -392,6 +395,7 @@
         self.bed = bed
         self.ip = bed.ip(index)
         self.name = f"edge-{index}"
+        self.zone = ZONES[index % len(ZONES)]
         self.process = None
         self.log = open(os.path.join(bed.folder, f"{self.name}.log"), "ab")
         self.settings = os.path.join(bed.folder, f"{self.name}.settings")
@@ -406,7 +410,7 @@
 
     def _values(self):
         return {
-            "node_name": self.name, "zone": "widzew", "ip": self.ip,
+            "node_name": self.name, "zone": self.zone, "ip": self.ip,
             "limits": {"cpu_share": 0.25, "max_fds": 4100,
                        "memory_mb": MEMORY_MB},
             "listen_addrs": {"frontend": f"{self.ip}:8104",
