review: end all processes when a script is told to stop

Cause: a script that got SIGTERM left its gateways running.

Change: the script's main task is cancelled and cleans up.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -647,6 +647,9 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        # Processes are ended also when the script itself is told to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             bed = Bed(folder)
         except NotRun as error:
@@ -658,7 +661,8 @@
             held = await asyncio.wait_for(case(bed, has_trouble), 110)
             bed.record.say("rule held" if held else "rule broken")
             return EXIT_HELD if held else EXIT_BROKEN
-        except (NotRun, OSError, asyncio.TimeoutError) as error:
+        except (NotRun, OSError, asyncio.TimeoutError,
+                asyncio.CancelledError) as error:
             bed.record.say(f"not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
