--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 
 SHARDS = 20
 GATEWAYS = 6
-CALLERS = 18
+CALLERS = 30
 CALLER_PAUSE_S = 0.15
 DEADLINE_MS = 800
 # The broadcast address of the loopback network: no process can have it.
