rc: 408, 421, 429 and 503 stand only for "not run"

Callers of the native interface could get 503 for an order or a change that may have run (link_lost, store_down, io): only the field "run" said so, and a caller that goes by the status repeats the request.

Cause: the table of codes had a status beside "may have run" that promises the opposite. The platform's encoder corrected it in a function of its own.

Change: link_lost and store_down have 502, io has 500.

--- a/include/common/rc.h
+++ b/include/common/rc.h
@@ -15,7 +15,10 @@
     RC_EXECUTED_YES,
 };
 
-/* X(symbol, number, name, executed, http status, text) */
+/* X(symbol, number, name, executed, http status, text)
+ *
+ * Callers repeat a request after 408, 421, 429 or 503: these statuses stand
+ * only beside RC_EXECUTED_NO. */
 #define RC_LIST(X)                                                            \
     X(RC_OK, 0, "ok", RC_EXECUTED_YES, 200, "done")                           \
     X(RC_BAD_JSON, -1, "bad_json", RC_EXECUTED_NO, 400,                       \
@@ -49,7 +52,7 @@
       "searcher refused the request without running it")                      \
     X(RC_LINK_FAILED, -18, "link_failed", RC_EXECUTED_NO, 503,                \
       "connection failed before any byte was sent")                           \
-    X(RC_LINK_LOST, -19, "link_lost", RC_EXECUTED_UNKNOWN, 503,               \
+    X(RC_LINK_LOST, -19, "link_lost", RC_EXECUTED_UNKNOWN, 502,               \
       "connection was lost after sending")                                    \
     X(RC_BAD_REPLY, -20, "bad_reply", RC_EXECUTED_UNKNOWN, 502,               \
       "searcher's reply does not belong to the request or is malformed")      \
@@ -66,7 +69,7 @@
     X(RC_CONFLICT, -28, "conflict", RC_EXECUTED_NO, 409,                      \
       "object changed since it was read")                                     \
     X(RC_NOT_FOUND, -29, "not_found", RC_EXECUTED_NO, 404, "no such object")  \
-    X(RC_STORE_DOWN, -30, "store_down", RC_EXECUTED_UNKNOWN, 503,             \
+    X(RC_STORE_DOWN, -30, "store_down", RC_EXECUTED_UNKNOWN, 502,             \
       "no usable answer from the platform's store")                           \
     X(RC_STALE, -31, "stale", RC_EXECUTED_NO, 409,                            \
       "offered revision is not newer than the one in force")                  \
@@ -75,7 +78,7 @@
     X(RC_USAGE, -33, "usage", RC_EXECUTED_NO, 400, "wrong flag or argument")  \
     X(RC_AGAIN, -34, "again", RC_EXECUTED_NO, 503, "may be sent again")       \
     X(RC_NO_MEMORY, -35, "no_memory", RC_EXECUTED_NO, 503, "out of memory")   \
-    X(RC_IO, -36, "io", RC_EXECUTED_UNKNOWN, 503, "system call failed")       \
+    X(RC_IO, -36, "io", RC_EXECUTED_UNKNOWN, 500, "system call failed")       \
     X(RC_RUNNING, -37, "running", RC_EXECUTED_UNKNOWN, 409,                   \
       "an order with this id is still running")                               \
     X(RC_LIMIT, -39, "limit", RC_EXECUTED_NO, 503,                            \
