gateway: lists and the registration end when the store contradicts itself

Cause: a page of a list that names nothing new, while more are to follow, was read again without a pause; an empty one counted as the end of the list, and all backend servers that it did not name were deleted. The registration went on between create (409) and replace (404) without a pause.

Change: such a page ends the list, which is read again after the usual pause, and deletes nothing. A round of the registration has at most four calls.

--- a/gateway/cache.c
+++ b/gateway/cache.c
@@ -178,12 +178,17 @@
     cache->store_revision_us = now_us;
 }
 
+/* Ends a page of a list that had `listed_count` objects before. */
 static enum cache_result
 cache_end_page(struct cache *cache, enum cache_source source,
-               const struct store_reply *reply, cache_object_cb on_object,
-               void *ctx)
+               const struct store_reply *reply, guint listed_count,
+               cache_object_cb on_object, void *ctx)
 {
-    if (reply->has_more && reply->object_count > 0) {
+    if (reply->has_more && g_hash_table_size(cache->listed) == listed_count) {
+        cache_reset_list(cache);
+        return CACHE_LIST_STUCK;
+    }
+    if (reply->has_more) {
         g_free(cache->after);
         cache->after = g_strdup(reply->objects[reply->object_count - 1].name);
         return CACHE_LIST_PAGE;
@@ -216,6 +221,7 @@
         cache->list_revision = cache_change_of(reply);
         cache->list_us = now_us;
     }
+    guint listed_count = is_list ? g_hash_table_size(cache->listed) : 0;
     int64_t change = cache_apply_all(cache, reply, on_object, ctx);
     if (source == CACHE_PEER) {
         /* `synced_us` stays: heartbeats carry the age of a peer's state. */
@@ -229,7 +235,8 @@
         cache->synced_us = now_us;
     }
     if (is_list) {
-        return cache_end_page(cache, source, reply, on_object, ctx);
+        return cache_end_page(cache, source, reply, listed_count, on_object,
+                              ctx);
     }
     if (reply->is_delta) {
         cache_reset_list(cache);
--- a/gateway/store_io.c
+++ b/gateway/store_io.c
@@ -19,6 +19,9 @@
 #define STORE_IO_LIST_INTERVAL_US (10LL * 1000 * 1000)
 #define STORE_IO_LIST_FOLLOWER_INTERVAL_US (60LL * 1000 * 1000)
 #define STORE_IO_RETRY_US (1000 * 1000)
+/* Calls of one round of the registration: list, create, replace and list
+ * again. After more the round ends: the answers contradict each other. */
+#define STORE_IO_ROUND_CALLS_MAX 4
 #define STORE_IO_TIMEOUT_US (2000 * 1000)
 /* A call has failed when it is this old and the store has answered another
  * call since it was sent. */
@@ -60,6 +63,7 @@
     int64_t renewed_us; /* when it was last written */
     int64_t due_us;
     int64_t sent_us;
+    uint32_t call_count; /* answered since the last pause */
 };
 
 struct store_io {
@@ -173,6 +177,9 @@
     store_io_close_conn(&registration->conn);
     registration->is_in_flight = false;
     registration->due_us = app_now_us() + delay_us;
+    if (delay_us > 0) {
+        registration->call_count = 0;
+    }
 }
 
 static void
@@ -317,7 +324,9 @@
     }
     enum store_io_step next =
         store_io_registration_next(registration, response);
-    if (next != STORE_IO_NONE) {
+    registration->call_count += 1;
+    if (next != STORE_IO_NONE &&
+        registration->call_count < STORE_IO_ROUND_CALLS_MAX) {
         registration->step = next;
         if (response->is_keepalive) {
             store_io_send_registration(registration);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -240,6 +240,12 @@
     enum cache_result result =
         cache_apply_reply(&feed->cache, sync_source_of(fetch), reply, now_us,
                           sync_on_object, &apply_ctx);
+    if (result == CACHE_LIST_STUCK) {
+        log_warn("sync", "list does not go on, read again later kind=%s",
+                 sync_kind_names[fetch->kind]);
+        sync_record_failure(sync, fetch->kind, RC_BAD_REPLY, now_us);
+        return;
+    }
     bool must_delay_watch =
         result == CACHE_LIST_DONE || result == CACHE_WATCH_CHANGED;
     feed->due_us = now_us + (must_delay_watch ? SYNC_WATCH_INTERVAL_US : 0);
--- a/include/gateway/cache.h
+++ b/include/gateway/cache.h
@@ -58,6 +58,7 @@
 /* What a reply contained. */
 enum cache_result {
     CACHE_LIST_PAGE,       /* a page of a list, not the last one */
+    CACHE_LIST_STUCK,      /* such a page that names no further object */
     CACHE_LIST_DONE,       /* the last page of a list */
     CACHE_PEER_DELTA,      /* changes that a peer sent */
     CACHE_WATCH_CHANGED,   /* a watch with changes */
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -91,6 +91,14 @@
     fault_store_mode(soak, STORE_LOSE_REPLIES, now_us);
 }
 
+/* Beside it a VM starts, which registers. */
+static void
+fault_store_contradict(struct soak *soak, int target, int64_t now_us)
+{
+    fault_store_mode(soak, STORE_CONTRADICT, now_us);
+    fault_kill(soak, target, now_us);
+}
+
 static void
 fault_store_ok(struct soak *soak, int target, int64_t now_us)
 {
@@ -321,6 +329,8 @@
     {"store busy", fault_store_busy, fault_store_ok, 1},
     {"store slow", fault_store_slow, fault_store_ok, 1},
     {"store loses answers", fault_store_lose_replies, fault_store_ok, 1},
+    {"store contradicts", fault_store_contradict, fault_store_ok, SOAK_VMS,
+     SOAK_SECOND_US},
     {"store silent", fault_store_silent, fault_store_silent_end, 1},
     {"store forgets", fault_compact, NULL, 1},
     {"store link silent", fault_link_silent, fault_link_ok, SOAK_VMS},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -89,6 +89,7 @@
     STORE_BUSY,         /* answers 503 */
     STORE_SLOW,         /* answers after STORE_SLOW_MS */
     STORE_LOSE_REPLIES, /* applies writes without answering them */
+    STORE_CONTRADICT,   /* says 409 to each create, 404 to each replace */
 };
 struct store;
 struct store *store_new(struct soak *soak);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -7,6 +7,8 @@
 #define STORE_PATH "/carobhatch/objects/"
 /* Number of events kept for watches; older ones are dropped. */
 #define STORE_HISTORY_MAX 500
+/* Most writes of all VMs in one second. */
+#define STORE_WRITES_MAX_PER_S 60
 
 struct store_object {
     char *key; /* KIND/NAME */
@@ -43,6 +45,8 @@
     GQueue history;             /* of struct store_object, latest last */
     GPtrArray *watches;
     uv_timer_t timer;
+    int64_t write_second; /* in which `write_count` writes came */
+    uint32_t write_count;
 };
 
 static void
@@ -270,12 +274,33 @@
     g_free(key);
 }
 
+/* A VM that is told no pauses before it writes again. */
+static void
+store_check_write_rate(struct store *store)
+{
+    int64_t second = soak_now_us() / SOAK_SECOND_US;
+    if (second != store->write_second) {
+        store->write_second = second;
+        store->write_count = 0;
+    }
+    store->write_count += 1;
+    if (store->write_count == STORE_WRITES_MAX_PER_S) {
+        soak_violation(store->soak, "store writes",
+                       "%d writes of the VMs in one second",
+                       STORE_WRITES_MAX_PER_S);
+    }
+}
+
 /* Applies a write of a VM: POST creates, PUT replaces. Returns the HTTP
  * status. */
 static int
 store_write(struct store *store, const struct http_request *http,
             const char *key)
 {
+    store_check_write_rate(store);
+    if (store->mode == STORE_CONTRADICT) {
+        return strcmp(http->method, "POST") == 0 ? 409 : 404;
+    }
     json_t *root = json_loadb(http->body, http->body_bytes, 0, NULL);
     json_t *spec = json_object_get(root, "spec");
     bool is_create = strcmp(http->method, "POST") == 0;
