peer: an error response at a peer's address is no list without objects

Cause: the result of a fetch from a peer began as that of the HTTP client, and a response with another status than 200 left it so: a whole list with no objects. A VM that asked at an address where something else answers 404 took all backend servers, data centres out of use and the configuration for deleted.

Change: the response is decoded in peer_state, and only one with status 200 can be a list.

--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -205,12 +205,9 @@
                  const struct http_response *response, void *ctx)
 {
     struct peer_io_call *call = ctx;
-    struct wire_objects objects = {.reply = {.rc = response->rc}};
-    if (response->rc == RC_OK && response->status == 200) {
-        peer_state_read(
-            json_loadb(response->body, response->body_bytes, 0, NULL),
-            &objects);
-    }
+    struct wire_objects objects;
+    peer_state_read_response(response->rc, response->status, response->body,
+                             response->body_bytes, &objects);
     peer_io_end_call(call, &objects.reply);
     wire_objects_clear(&objects);
 }
--- a/gateway/peer_state.c
+++ b/gateway/peer_state.c
@@ -135,3 +135,12 @@
         .current_revision = json_integer_value(change),
     };
 }
+
+void
+peer_state_read_response(int rc, int status, const char *body,
+                         size_t body_bytes, struct wire_objects *out)
+{
+    bool is_answer = rc == RC_OK && status == 200;
+    peer_state_read(is_answer ? json_loadb(body, body_bytes, 0, NULL) : NULL,
+                    out);
+}
--- a/include/gateway/peer_state.h
+++ b/include/gateway/peer_state.h
@@ -30,4 +30,9 @@
  * with wire_objects_clear(). */
 void peer_state_read(json_t *root, struct wire_objects *out);
 
+/* The same for the response to a request for the state; `rc` is that of the
+ * HTTP client. Any but a whole response with status 200 is RC_BAD_REPLY. */
+void peer_state_read_response(int rc, int status, const char *body,
+                              size_t body_bytes, struct wire_objects *out);
+
 #endif
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -478,6 +478,18 @@
     sync_tick(&test->sync, &test->members, script_number(argc, argv, 1) * MS);
 }
 
+/* > peer-response STATUS BODY: decodes a peer's response. */
+static void
+run_peer_response(void *ctx, int argc, char **argv, GString *out)
+{
+    struct wire_objects objects;
+    peer_state_read_response(RC_OK, (int)script_number(argc, argv, 1), argv[2],
+                             strlen(argv[2]), &objects);
+    g_string_append_printf(out, "%s objects=%zu", rc_name(objects.reply.rc),
+                           objects.reply.object_count);
+    wire_objects_clear(&objects);
+}
+
 /* > peer-state SINCE: prints what a peer gets that has the state as of SINCE.
  */
 static void
@@ -681,6 +693,7 @@
     {"reset", run_reset},
     {"settings", run_settings},
     {"peer-state", run_peer_state},
+    {"peer-response", run_peer_response},
     {"next-heartbeat", run_next_heartbeat},
     {"heartbeat-targets", run_heartbeat_targets},
     {"must-reply", run_must_reply},
