store: each entry of a list is decoded on its own

Callers saw 503 for every request, for as long as one entry of another writer held a number written as Infinity or other bytes that are no JSON, after all processes had been killed: no VM became ready.

Cause: the store's list was decoded as one document; what failed was repaired as text and decoded as one document again. Bytes beyond the repairs made the reply a failed call, and a VM that starts needs the list.

Change: common/json_list takes a list apart and decodes each member of each entry on its own.

Tests: the expectations of "odd-list" become stricter: an entry with a value that cannot be decoded is not used at all, where it was used with repaired values, and text that leaves a string open no longer fails the whole list.

--- a/native/objects.c
+++ b/native/objects.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/json_list.h"
 #include "common/log.h"
 #include "common/rc.h"
 #include "native/native.h"
@@ -14,6 +15,14 @@
 #define NATIVE_DOCUMENT_NAME "current"
 #define NATIVE_VMS_PATH "/v1/vms"
 
+static const char *const native_item_keys[] = {"name", "version", "value",
+                                               NULL};
+static const struct json_list_format native_items_format = {
+    .list_key = "items",
+    .id_key = "name",
+    .entry_keys = native_item_keys,
+};
+
 char *
 native_fetch_path(const struct sync_fetch *fetch)
 {
@@ -69,7 +78,15 @@
     if (status != 200) {
         return;
     }
-    out->root = json_loadb(body, body_bytes, 0, NULL);
+    uint32_t odd_count = 0;
+    out->root =
+        json_list_load(body, body_bytes, &native_items_format, &odd_count);
+    if (odd_count > 0) {
+        log_warn("native",
+                 "a reply from the store has values that cannot be decoded "
+                 "bytes=%zu values=%u",
+                 body_bytes, odd_count);
+    }
     json_t *items = json_object_get(out->root, "items");
     json_t *version = json_object_get(out->root, "version");
     if (!json_is_array(items) || !json_is_integer(version)) {
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -79,7 +79,10 @@
     for (size_t i = 0; i < objects.reply.object_count; i++) {
         const struct cache_object *object = &objects.reply.objects[i];
         struct backend_entry entry;
-        char *copy = json_dumps(object->spec, JSON_COMPACT);
+        char *copy =
+            json_is_null(object->spec)
+                ? NULL
+                : json_dumps(object->spec, JSON_COMPACT | JSON_ENCODE_ANY);
         bool is_odd = strcmp(object->name, "odd") == 0;
         g_string_append_printf(out, " %s", object->name);
         if (is_odd) {
@@ -94,6 +97,116 @@
     g_free(text);
 }
 
+/* Pieces of which the bytes of an odd object are made. */
+static const char *const odd_pieces[] = {
+    "{",
+    "}",
+    "[",
+    "]",
+    "\"",
+    "\\",
+    ",",
+    ":",
+    " ",
+    "1",
+    "null",
+    "Infinity",
+    "-1e999",
+    "\xff",
+    "\x82\xa7service\xaa",
+    "\"a\"",
+    "\"a\":",
+    "{\"service\":\"s\",\"addr",
+    "{\"meta\":{\"name\":\"",
+    "\\u0000",
+};
+
+#define ODD_PIECES_MAX 12
+#define ODD_LIST_OBJECTS 6
+
+/* Appends an object to the text of a list or watch. A sound one has its number
+ * as revision and spec. */
+static void
+odd_append(GString *text, int number, bool is_odd, bool is_watch, GRand *rand)
+{
+    g_string_append_printf(text,
+                           "%s%s{\"meta\":{\"name\":\"%s%d\","
+                           "\"revision\":%d},\"spec\":",
+                           number > 0 ? "," : "",
+                           is_watch ? "{\"deleted\":false,\"object\":" : "",
+                           is_odd ? "odd" : "sound", number, number);
+    if (!is_odd) {
+        g_string_append_printf(text, "{\"a\":[%d,\"]}\"]}", number);
+    }
+    for (int i = g_rand_int_range(rand, 0, ODD_PIECES_MAX); is_odd && i > 0;
+         i--) {
+        gint32 piece = g_rand_int_range(rand, 0, G_N_ELEMENTS(odd_pieces));
+        g_string_append(text, odd_pieces[piece]);
+    }
+    g_string_append_printf(text, ",\"status\":null}%s", is_watch ? "}" : "");
+}
+
+/* Whether the reply has exactly the sound objects, beside some odd ones. */
+static bool
+odd_is_right(const struct store_reply *reply, const bool *is_odd)
+{
+    int next = 0;
+    for (size_t i = 0; i < reply->object_count; i++) {
+        const struct cache_object *object = &reply->objects[i];
+        if (g_str_has_prefix(object->name, "odd")) {
+            continue;
+        }
+        while (next < ODD_LIST_OBJECTS && is_odd[next]) {
+            next += 1;
+        }
+        json_t *values = json_object_get(object->spec, "a");
+        if (next == ODD_LIST_OBJECTS || object->revision != next ||
+            json_integer_value(json_array_get(values, 0)) != next) {
+            return false;
+        }
+        next += 1;
+    }
+    while (next < ODD_LIST_OBJECTS && is_odd[next]) {
+        next += 1;
+    }
+    return reply->rc == RC_OK && next == ODD_LIST_OBJECTS &&
+           reply->current_revision == 9;
+}
+
+/* > odd-lists SEED COUNT: decodes lists and watches in which the specs of some
+ * objects are random bytes. Prints how many have not exactly the others. */
+static void
+run_odd_lists(void *ctx, int argc, char **argv, GString *out)
+{
+    GRand *rand = g_rand_new_with_seed((guint32)script_number(argc, argv, 1));
+    gint64 count = script_number(argc, argv, 2);
+    int wrong = 0;
+    for (gint64 i = 0; i < count; i++) {
+        bool is_watch = i % 2 != 0;
+        bool is_odd[ODD_LIST_OBJECTS];
+        GString *text =
+            g_string_new(is_watch ? "{\"events\":[" : "{\"items\":[");
+        for (int j = 0; j < ODD_LIST_OBJECTS; j++) {
+            is_odd[j] = g_rand_int_range(rand, 0, 3) == 0;
+            odd_append(text, j, is_odd[j], is_watch, rand);
+        }
+        g_string_append(text, "],\"has_more\":false,\"current_rev\":9}");
+        struct wire_objects objects;
+        struct sync_fetch fetch = {.is_watch = is_watch};
+        platform_read_objects(&fetch, 200, text->str, text->len, &objects);
+        bool is_right = odd_is_right(&objects.reply, is_odd);
+        if (!is_right && wrong == 0) {
+            g_string_append_printf(out, "%s\n", text->str);
+        }
+        wrong += !is_right;
+        wire_objects_clear(&objects);
+        g_string_free(text, TRUE);
+    }
+    g_string_append_printf(out, "%" PRId64 " lists, %d with a wrong object",
+                           (int64_t)count, wrong);
+    g_rand_free(rand);
+}
+
 /* > path list|watch KIND [AFTER | REVISION]: prints the path of the fetch */
 static void
 run_path(void *ctx, int argc, char **argv, GString *out)
@@ -415,6 +528,7 @@
 static const struct script_command commands[] = {
     {"objects", run_objects},
     {"odd-list", run_odd_list},
+    {"odd-lists", run_odd_lists},
     {"path", run_path},
     {"backend", run_backend},
     {"config", run_config},
