gateway: a planned stop ends when nothing is owed to callers

Callers with a slow link saw answers that broke off 3.5 s after SIGTERM, 2.5 s before the end of the grace period.

Cause: the process counted as idle when no request waited for a backend server. Answers that h2o had not written, and requests that were being read, were not looked at.

Change: gateway/stop decides about a planned stop, without I/O. The process ends when no request is read in part, waits, or has an unwritten answer, else 0.2 s before the end of the grace period.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -27,7 +27,8 @@
     h2o_accept_ctx_t accept_ctx;
     http_server_handler_cb handler;
     void *ctx;
-    uint32_t connection_count;
+    GQueue connections;      /* of struct http_server_connection */
+    uint32_t exchange_count; /* requests that h2o has not disposed of */
     uint64_t disconnect_check_ms;
     int is_stopping;
 };
@@ -57,6 +58,8 @@
 struct http_server_connection {
     uv_tcp_t tcp;
     struct http_server *server;
+    h2o_socket_t *socket; /* NULL: it could not be accepted */
+    GList link;           /* in server->connections */
 };
 
 static void
@@ -88,6 +91,7 @@
     struct http_server_exchange *exchange =
         *(struct http_server_exchange **)data;
     exchange->h2o = NULL;
+    exchange->server->exchange_count -= 1;
     if (exchange->is_answered) {
         http_server_exchange_free(exchange);
     }
@@ -189,6 +193,7 @@
     }
     exchange->server = server;
     exchange->h2o = req;
+    server->exchange_count += 1;
     exchange->method = g_strndup(req->method.base, req->method.len);
     exchange->path = g_strndup(req->path.base, path_bytes);
     exchange->target =
@@ -336,7 +341,7 @@
 {
     struct http_server_connection *connection =
         (struct http_server_connection *)handle;
-    connection->server->connection_count -= 1;
+    g_queue_unlink(&connection->server->connections, &connection->link);
     g_free(connection);
 }
 
@@ -350,7 +355,8 @@
     struct http_server_connection *connection =
         g_new0(struct http_server_connection, 1);
     connection->server = server;
-    server->connection_count += 1;
+    connection->link.data = connection;
+    g_queue_push_tail_link(&server->connections, &connection->link);
     uv_tcp_init(listener->loop, &connection->tcp);
     if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0) {
         uv_close((uv_handle_t *)&connection->tcp,
@@ -358,9 +364,9 @@
         return;
     }
     uv_tcp_nodelay(&connection->tcp, 1);
-    h2o_socket_t *socket = h2o_uv_socket_create(
+    connection->socket = h2o_uv_socket_create(
         (uv_stream_t *)&connection->tcp, http_server_on_connection_closed);
-    h2o_accept(&server->accept_ctx, socket);
+    h2o_accept(&server->accept_ctx, connection->socket);
 }
 
 static void
@@ -400,6 +406,7 @@
     uv_unref((uv_handle_t *)&server->disconnect_timer);
     server->disconnect_timer.data = server;
     g_queue_init(&server->unanswered);
+    g_queue_init(&server->connections);
     uv_tcp_init(loop, &server->listener);
     server->listener.data = server;
     int failed =
@@ -436,8 +443,33 @@
     http_server_drain(server);
 }
 
+/* Whether bytes of a request that h2o has not handled yet were read. */
+static bool
+http_server_is_reading(const struct http_server_connection *connection)
+{
+    return connection->socket != NULL &&
+           !uv_is_closing((const uv_handle_t *)&connection->tcp) &&
+           connection->socket->input != NULL &&
+           connection->socket->input->size > 0;
+}
+
+bool
+http_server_is_owing(const struct http_server *server)
+{
+    if (server->exchange_count > 0) {
+        return true;
+    }
+    for (const GList *item = server->connections.head; item != NULL;
+         item = item->next) {
+        if (http_server_is_reading(item->data)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint32_t
 http_server_connection_count(const struct http_server *server)
 {
-    return server->connection_count;
+    return server->connections.length;
 }
--- a/gateway/app.c
+++ b/gateway/app.c
@@ -10,15 +10,6 @@
 #define APP_TICK_MS 100
 #define APP_SETTINGS_INTERVAL_US (2LL * 1000 * 1000)
 #define APP_TOTALS_INTERVAL_US (10LL * 1000 * 1000)
-/* After SIGTERM callers keep connecting until their cached address lists have
- * expired. From then on the VM accepts no new connection and exits once it is
- * idle. */
-#define APP_DRAIN_US (3300LL * 1000)
-/* Share of the grace period after which open requests are answered with an
- * error. */
-#define APP_ABORT_PERMILLE 880
-/* Time to write the last answers. */
-#define APP_FLUSH_US (150 * 1000)
 #define APP_PERMILLE 1000.0
 /* Share of the drain time for which a leaving backend server may be used if no
  * other one can serve. It may have sent its notice some time ago. */
@@ -58,7 +49,8 @@
 bool
 app_is_ready(const struct app *app)
 {
-    return app->stopping_us == 0 && app->gateway.config != NULL &&
+    return !stop_is_stopping(&app->gateway.stop) &&
+           app->gateway.config != NULL &&
            app->sync.feeds[OBJECT_BACKENDS].cache.has_list;
 }
 
@@ -170,6 +162,7 @@
         .leaving_use_us =
             settings->drain_ms * APP_LEAVING_USE_PERMILLE, /* ms x permille */
     };
+    app->gateway.stop.grace_us = settings->grace_ms * 1000;
     app->gateway.backends.link_max =
         (uint32_t)(settings->files / APP_LINK_FILES_DIVISOR);
 }
@@ -269,20 +262,18 @@
 static void
 app_tick_shutdown(struct app *app, int64_t now_us)
 {
-    int64_t since_us = now_us - app->stopping_us;
-    int64_t abort_us =
-        app->settings.grace_ms * APP_ABORT_PERMILLE; /* ms x permille */
-    if (since_us >= MIN(APP_DRAIN_US, abort_us)) {
+    const struct stop *stop = &app->gateway.stop;
+    if (stop_must_close_listener(stop, now_us)) {
         app->front->stop(app);
     }
-    if (since_us >= abort_us) {
+    if (stop_must_answer(stop, now_us)) {
         gateway_fail_all(&app->gateway, now_us);
     }
-    bool is_idle = g_queue_is_empty(&app->gateway.requests) &&
-                   !app->front->is_busy(app) &&
-                   since_us >= APP_DRAIN_US + APP_FLUSH_US;
-    if (is_idle || since_us >= abort_us + APP_FLUSH_US) {
-        log_info("app", "stopped after_ms=%" PRId64, since_us / 1000);
+    bool is_owing =
+        !g_queue_is_empty(&app->gateway.requests) || app->front->is_owing(app);
+    if (stop_may_exit(stop, is_owing, now_us)) {
+        log_info("app", "stopped after_ms=%" PRId64 " owing=%d",
+                 (now_us - stop->started_us) / 1000, is_owing);
         uv_stop(&app->loop);
     }
 }
@@ -313,7 +304,7 @@
     if (app->front->tick != NULL) {
         app->front->tick(app, now_us);
     }
-    if (app->stopping_us > 0) {
+    if (stop_is_stopping(&app->gateway.stop)) {
         app_tick_shutdown(app, now_us);
     }
 }
@@ -358,10 +349,10 @@
 app_on_term(uv_signal_t *signal, int number)
 {
     struct app *app = signal->data;
-    if (app->stopping_us > 0) {
+    if (stop_is_stopping(&app->gateway.stop)) {
         return;
     }
-    app->stopping_us = app_now_us();
+    stop_start(&app->gateway.stop, app_now_us());
     log_info("app", "stopping signal=%d open_requests=%u", number,
              app->gateway.requests.length);
     peer_io_send_heartbeats(app->peers);
--- a/gateway/front_io.c
+++ b/gateway/front_io.c
@@ -67,9 +67,10 @@
 }
 
 static bool
-front_io_is_busy(const struct app *app)
+front_io_is_owing(const struct app *app)
 {
-    return false;
+    const struct front_io *servers = app->front_ctx;
+    return http_server_is_owing(servers->requests);
 }
 
 static void
@@ -95,7 +96,7 @@
 const struct app_front front_io_front = {
     .open = front_io_open,
     .on_config = front_io_on_config,
-    .is_busy = front_io_is_busy,
+    .is_owing = front_io_is_owing,
     .drain = front_io_drain,
     .stop = front_io_stop,
     .close = front_io_close,
--- a/gateway/roster_io.c
+++ b/gateway/roster_io.c
@@ -212,7 +212,7 @@
         }
         return;
     }
-    if (now_us < roster_io->due_us || app->stopping_us > 0 ||
+    if (now_us < roster_io->due_us || stop_is_stopping(&app->gateway.stop) ||
         app->wire->write_roster == NULL) {
         return;
     }
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -101,6 +101,10 @@
 /* Stops accepting connections and drains the open ones. */
 void http_server_stop(struct http_server *server);
 
+/* Whether a client is owed something: a request was read in part, waits for
+ * its answer, or has an answer that is not written yet. */
+bool http_server_is_owing(const struct http_server *server);
+
 /* Connections that are open now. */
 uint32_t http_server_connection_count(const struct http_server *server);
 
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -30,8 +30,8 @@
     void (*on_config)(struct app *app, int64_t now_us);
     /* Called every 100 ms; may be NULL. */
     void (*tick)(struct app *app, int64_t now_us);
-    /* Whether requests are in flight that are not in `gateway.requests`. */
-    bool (*is_busy)(const struct app *app);
+    /* Whether a caller has a request or an answer on the way. */
+    bool (*is_owing)(const struct app *app);
     /* SIGTERM was received: closes each connection after its next answer. */
     void (*drain)(struct app *app);
     /* Stops accepting connections. */
@@ -69,9 +69,8 @@
     uint64_t random_state;
     int64_t settings_mtime_ns;
     int64_t settings_checked_us;
-    int64_t totals_us;   /* when the totals were last logged */
-    int64_t started_us;  /* when the process started */
-    int64_t stopping_us; /* when SIGTERM was received, 0: not */
+    int64_t totals_us;  /* when the totals were last logged */
+    int64_t started_us; /* when the process started */
 };
 
 /* Runs until SIGTERM with `settings`, whose strings it takes ownership of, or,
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/balancer.h"
 #include "gateway/config.h"
 #include "gateway/queue.h"
+#include "gateway/stop.h"
 #include "common/hedge.h"
 
 /*
@@ -154,6 +155,7 @@
     struct queue queue;       /* parts that wait for a backend server */
     int64_t last_dispatch_us; /* when all queued parts were last tried */
     struct admit admit;
+    struct stop stop;
     uint64_t request_serial;
     bool is_config_stale; /* unknown routes may exist: callers should retry */
     int64_t backends_as_of_us; /* time up to which `backends` is current, for
--- a/native/operator.c
+++ b/native/operator.c
@@ -75,7 +75,7 @@
 static const char *
 operator_state(const struct app *app)
 {
-    if (app->stopping_us > 0) {
+    if (stop_is_stopping(&app->gateway.stop)) {
         return "draining";
     }
     return app_is_ready(app) ? "serving" : "starting";
--- a/native/server.c
+++ b/native/server.c
@@ -115,10 +115,11 @@
 }
 
 static bool
-server_is_busy(const struct app *app)
+server_is_owing(const struct app *app)
 {
     const struct server *server = app->front_ctx;
-    return forward_count(server->forwards) > 0;
+    return forward_count(server->forwards) > 0 ||
+           http_server_is_owing(server->http);
 }
 
 static void
@@ -150,7 +151,7 @@
     .open = server_open,
     .on_config = server_on_config,
     .tick = server_tick,
-    .is_busy = server_is_busy,
+    .is_owing = server_is_owing,
     .drain = server_drain,
     .stop = server_stop,
     .close = server_close,
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -11,6 +11,7 @@
 #include "gateway/finish.h"
 #include "gateway/member.h"
 #include "gateway/peer_state.h"
+#include "gateway/stop.h"
 #include "gateway/record.h"
 #include "gateway/roster.h"
 #include "gateway/settings.h"
@@ -27,6 +28,8 @@
  */
 
 #define MS 1000
+/* Start of a clock that must not be at 0. */
+#define EPOCH_US (1000LL * 1000 * 1000)
 
 struct module_test {
     struct roster roster;
@@ -478,6 +481,24 @@
     sync_tick(&test->sync, &test->members, script_number(argc, argv, 1) * MS);
 }
 
+/* > stop GRACE NOW EXPECTED idle|owing: what a planned stop that began at 0
+ * decides at NOW, and whether a request that takes EXPECTED is taken. */
+static void
+run_stop(void *ctx, int argc, char **argv, GString *out)
+{
+    struct stop stop = {.grace_us = script_number(argc, argv, 1) * MS};
+    int64_t now_us = EPOCH_US + script_number(argc, argv, 2) * MS;
+    bool is_owing = strcmp(argv[4], "owing") == 0;
+    stop_start(&stop, EPOCH_US);
+    stop_start(&stop, now_us);
+    g_string_append_printf(
+        out, "listens=%d takes=%d answers=%d exits=%d",
+        !stop_must_close_listener(&stop, now_us),
+        stop_may_take(&stop, script_number(argc, argv, 3) * MS, now_us),
+        stop_must_answer(&stop, now_us),
+        stop_may_exit(&stop, is_owing, now_us));
+}
+
 /* > peer-response STATUS BODY: decodes a peer's response. */
 static void
 run_peer_response(void *ctx, int argc, char **argv, GString *out)
@@ -694,6 +715,7 @@
     {"settings", run_settings},
     {"peer-state", run_peer_state},
     {"peer-response", run_peer_response},
+    {"stop", run_stop},
     {"next-heartbeat", run_next_heartbeat},
     {"heartbeat-targets", run_heartbeat_targets},
     {"must-reply", run_must_reply},
