gateway: a stopping VM refuses what it cannot finish

Callers that sent orders late in the grace period of a planned stop got 504 at its end: the outcome is unknown, and the order may not be repeated. Operators of a similar system reported such requests as cut.

Cause: requests were taken until the end of the stop, whatever time they need.

Change: a request that by the usual time of its route cannot be answered before open requests get an error is refused at once as not run: on arrival, from the queue, and when its connection comes up. For an order the usual time is one that few exceed. Retry-After is 0, since another VM can serve it.

--- a/gateway/part.c
+++ b/gateway/part.c
@@ -267,6 +267,9 @@
     if (part_is_expired(part, now_us)) {
         return RC_TOO_LATE;
     }
+    if (!request_may_start(part->request, now_us)) {
+        return RC_STOPPING;
+    }
     /* The reason of the last failed attempt is more specific. */
     return rc != RC_OK && part->attempt_count == 0 ? rc : part->rc;
 }
@@ -279,7 +282,8 @@
 {
     struct backend *backend = NULL;
     int rc = RC_OK;
-    if (!part_is_expired(part, now_us) && part_may_attempt(part)) {
+    if (!part_is_expired(part, now_us) && part_may_attempt(part) &&
+        request_may_start(part->request, now_us)) {
         rc = part_choose(part, false, now_us, &backend);
     }
     if (rc == RC_LIMIT) {
@@ -325,6 +329,9 @@
     if (part_is_expired(attempt->part, now_us)) {
         return RC_TOO_LATE;
     }
+    if (!request_may_start(attempt->part->request, now_us)) {
+        return RC_STOPPING;
+    }
     return balancer_is_unwanted(attempt->backend,
                                 gateway->bounds.leaving_use_us, now_us)
                ? RC_BACKOFF
@@ -381,7 +388,7 @@
     else if (rc == RC_WRONG_BACKEND) {
         backend_on_wrong_id(attempt->backend, now_us);
     }
-    else if (rc != RC_BACKOFF && rc != RC_TOO_LATE) {
+    else if (rc != RC_BACKOFF && rc != RC_TOO_LATE && rc != RC_STOPPING) {
         backend_on_failure(attempt->backend, now_us);
     }
     if (part->state != PART_OPEN || part_is_in_flight(part)) {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -13,6 +13,10 @@
  * for this time, so that the request is not cut off. */
 #define REQUEST_NON_IDEMPOTENT_KEEP_US (10LL * 1000 * 1000)
 
+/* Percentile of the times on its route, in thousandths, that a request which
+ * must not be sent twice is expected to take. */
+#define REQUEST_EXPECTED_PERMILLE 990
+
 void
 request_hold(struct request *request)
 {
@@ -148,7 +152,7 @@
                : MAX(coverage_us, GATEWAY_NO_BACKEND_RETRY_US);
 }
 
-static bool
+bool
 request_may_have_run(const struct request *request)
 {
     for (uint32_t i = 0; i < request->part_count; i++) {
@@ -159,6 +163,30 @@
     return false;
 }
 
+/* Returns how long the request is expected to take: the usual time of its
+ * route, or, if it must not be sent twice, a time that few exceed. */
+static int64_t
+request_expected_us(const struct request *request)
+{
+    const struct route_stats *stats =
+        gateway_route_stats(request->gateway, request->route);
+    if (request->route->is_idempotent) {
+        return stats->average_us;
+    }
+    return MAX(stats->average_us,
+               histogram_value_at(&stats->hedge.histogram,
+                                  REQUEST_EXPECTED_PERMILLE));
+}
+
+bool
+request_may_start(const struct request *request, int64_t now_us)
+{
+    return !stop_is_stopping(&request->gateway->stop) ||
+           request_may_have_run(request) ||
+           stop_may_take(&request->gateway->stop, request_expected_us(request),
+                         now_us);
+}
+
 /* Returns `rc`, or a code that is true in its place: one that means "not run"
  * is only returned if no backend server can have run the request. */
 static int
@@ -177,8 +205,11 @@
     struct caller_answer out = {
         .rc = request_true_rc(request, rc),
         .route = request->route,
-        .retry_after_us = request_retry_after_us(request, now_us),
     };
+    /* Another VM can serve what this one refuses because it stops. */
+    if (out.rc != RC_STOPPING) {
+        out.retry_after_us = request_retry_after_us(request, now_us);
+    }
     request_finish(request, &out, now_us);
 }
 
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -124,6 +124,15 @@
 /* Whether a backend server may have run an attempt of the part. */
 bool part_may_have_run(const struct part *part);
 
+/* Whether a backend server may have run any part of the request. */
+bool request_may_have_run(const struct request *request);
+
+/*
+ * Whether the request may be sent for the first time: in a planned stop only
+ * if it will be answered before the end, by the usual time of its route.
+ */
+bool request_may_start(const struct request *request, int64_t now_us);
+
 /* A part has changed: answers the request, fails it, or sets when the next
  * step is due. */
 void request_advance(struct request *request, int64_t now_us);
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -561,6 +561,15 @@
     g_hash_table_destroy(counts);
 }
 
+/* > stop GRACE_MS: a planned stop begins. */
+static void
+run_stop(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->gateway.stop.grace_us = script_number(argc, argv, 1) * MS;
+    stop_start(&test->gateway.stop, test->now_us);
+}
+
 /* > fail-all: the process stops. */
 static void
 run_fail_all(void *ctx, int argc, char **argv, GString *out)
@@ -654,6 +663,7 @@
     {"wait", run_wait},
     {"pause", run_pause},
     {"split", run_split},
+    {"stop", run_stop},
     {"fail-all", run_fail_all},
     {"counter", run_counter},
     {"answer-each", run_answer_each},
