platform: an entry of a backend server needs each of its fields

Callers saw successes of another service while another writer replaced the entries of a backend server.

Cause: a field that the gateway does not need could be missing or of any type. An entry without version, warmup_left_ms and seq, which a backend server never writes, was used.

The first one that is missing or wrong is told to the caller, counted by field and logged once for each change of the entry.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -87,8 +87,9 @@
                   int64_t remove_us, int64_t now_us)
 {
     struct backend_entry entry;
+    const char *bad_field = NULL;
     if (!object->is_deleted &&
-        app->wire->read_backend(object, &entry) == RC_OK) {
+        app->wire->read_backend(object, &entry, &bad_field) == RC_OK) {
         log_info("backend",
                  "entry changed id=%s service=%s address=%s dc=%s draining=%d "
                  "warmup_ms=%" PRId64 " revision=%" PRId64,
@@ -103,7 +104,13 @@
         }
         return;
     }
-    log_info("backend", "entry deleted or invalid id=%s remove_in_ms=%" PRId64,
+    if (bad_field != NULL) {
+        counter_add(app->counters, "gateway_entries_refused", bad_field);
+        log_warn("backend", "entry is not used id=%s wrong_field=%s",
+                 object->name, bad_field);
+    }
+    log_info("backend",
+             "entry deleted or not used id=%s remove_in_ms=%" PRId64,
              object->name, (remove_us - now_us) / 1000);
     backend_expire(&app->gateway.backends, object->name, remove_us);
 }
--- a/gateway/roster_io.c
+++ b/gateway/roster_io.c
@@ -44,9 +44,10 @@
     uint32_t count = 0;
     for (size_t i = 0; i < objects->reply.object_count; i++) {
         struct backend_entry entry;
+        const char *bad_field = NULL;
         const struct cache_object *object = &objects->reply.objects[i];
         if (backend_find(&app->gateway.backends, object->name) != NULL ||
-            app->wire->read_backend(object, &entry) != RC_OK ||
+            app->wire->read_backend(object, &entry, &bad_field) != RC_OK ||
             entry.is_draining) {
             continue;
         }
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -83,8 +83,10 @@
      * RC_NOT_FOUND for an object that this VM does not use. */
     int (*read_config)(const struct cache_object *object,
                        struct gateway_config **out);
+    /* RC_OK, or RC_INVALID and in `bad_field` the name of the field that is
+     * missing or wrong. */
     int (*read_backend)(const struct cache_object *object,
-                        struct backend_entry *out);
+                        struct backend_entry *out, const char **bad_field);
 
     /* Paths and bodies of the VMs' own objects; free with g_free. */
     char *(*vms_path)(const char *name); /* NULL: the list of all */
--- a/include/native/native.h
+++ b/include/native/native.h
@@ -22,7 +22,7 @@
 int native_read_config(const struct cache_object *object,
                        struct gateway_config **out);
 int native_read_backend(const struct cache_object *object,
-                        struct backend_entry *out);
+                        struct backend_entry *out, const char **bad_field);
 
 /* Appends the objects of the kind that the document declares; `out` owns what
  * they point to. `*revision` receives the revision of the document, 0 if
--- a/include/platform/platform.h
+++ b/include/platform/platform.h
@@ -21,7 +21,7 @@
 int platform_read_config(const struct cache_object *object,
                          struct gateway_config **out);
 int platform_read_backend(const struct cache_object *object,
-                          struct backend_entry *out);
+                          struct backend_entry *out, const char **bad_field);
 char *platform_vms_path(const char *name);
 char *platform_vms_stale_path(void);
 char *platform_vms_expired_path(const char *name, int64_t revision);
--- a/native/document.c
+++ b/native/document.c
@@ -3,6 +3,7 @@
 #include "common/config.h"
 #include "common/config_schema.h"
 #include "common/log.h"
+#include "common/net.h"
 #include "common/rc.h"
 #include "native/native.h"
 
@@ -212,7 +213,7 @@
 
 int
 native_read_backend(const struct cache_object *object,
-                    struct backend_entry *out)
+                    struct backend_entry *out, const char **bad_field)
 {
     const json_t *spec = object->spec;
     const char *state = json_string_value(json_object_get(spec, "state"));
@@ -224,12 +225,17 @@
         .slots = (uint32_t)json_integer_value(json_object_get(spec, "slots")),
         .is_draining = g_strcmp0(state, "leaving") == 0,
     };
-    if (out->service == NULL || out->address == NULL || out->dc == NULL) {
-        log_warn("native",
-                 "backend server entry has no service, address or zone and is "
-                 "not used id=%s",
-                 object->name);
-        return RC_INVALID;
+    struct sockaddr_in address;
+    *bad_field = NULL;
+    if (out->service == NULL) {
+        *bad_field = "service";
     }
-    return RC_OK;
+    else if (out->address == NULL ||
+             net_parse(out->address, &address) != RC_OK) {
+        *bad_field = "address";
+    }
+    else if (out->dc == NULL) {
+        *bad_field = "zone";
+    }
+    return *bad_field == NULL ? RC_OK : RC_INVALID;
 }
--- a/tests/native/test_native.c
+++ b/tests/native/test_native.c
@@ -346,8 +346,9 @@
         g_string_append_printf(out, "%s@%" PRId64, object->name,
                                object->revision);
         struct backend_entry entry;
+        const char *bad_field = NULL;
         if (fetch.kind == OBJECT_BACKENDS &&
-            native_read_backend(object, &entry) == RC_OK) {
+            native_read_backend(object, &entry, &bad_field) == RC_OK) {
             g_string_append_printf(out, " %s %s %s slots=%u draining=%d",
                                    entry.service, entry.address, entry.dc,
                                    entry.slots, entry.is_draining);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -79,6 +79,7 @@
     for (size_t i = 0; i < objects.reply.object_count; i++) {
         const struct cache_object *object = &objects.reply.objects[i];
         struct backend_entry entry;
+        const char *bad_field = NULL;
         char *copy =
             json_is_null(object->spec)
                 ? NULL
@@ -88,7 +89,7 @@
         if (is_odd) {
             g_string_append_printf(
                 out, "=%s (%s)", copy != NULL ? copy : "none",
-                rc_name(platform_read_backend(object, &entry)));
+                rc_name(platform_read_backend(object, &entry, &bad_field)));
         }
         free(copy);
     }
@@ -227,15 +228,20 @@
     g_free(path);
 }
 
-/* > backend SPEC: decodes a backend server entry */
+/* > backend SPEC [NAME]: decodes a backend server entry; prints the wrong
+ * field */
 static void
 run_backend(void *ctx, int argc, char **argv, GString *out)
 {
     json_t *spec = json_loads(argv[1], 0, NULL);
-    struct cache_object object = {.name = "b1", .spec = spec};
+    struct cache_object object = {
+        .name = argc > 2 ? argv[2] : "b1",
+        .spec = spec,
+    };
     struct backend_entry entry;
-    if (platform_read_backend(&object, &entry) != RC_OK) {
-        g_string_append(out, "invalid");
+    const char *bad_field = NULL;
+    if (platform_read_backend(&object, &entry, &bad_field) != RC_OK) {
+        g_string_append_printf(out, "invalid %s", bad_field);
     }
     else {
         g_string_append_printf(
@@ -249,6 +255,45 @@
     json_decref(spec);
 }
 
+/* > backend-fields SPEC: drops each field of the entry, and replaces it by
+ * values of other types and ranges. Prints what is accepted. */
+static void
+run_backend_fields(void *ctx, int argc, char **argv, GString *out)
+{
+    static const char *const values[] = {
+        NULL,   "null",  "true", "-1", "0",  "1.5",
+        "1e30", "\"x\"", "\"\"", "[]", "{}",
+    };
+    json_t *sound = json_loads(argv[1], 0, NULL);
+    const char *field = NULL;
+    json_t *old = NULL;
+    json_object_foreach(sound, field, old)
+    {
+        g_string_append_printf(out, "%s:", field);
+        for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+            json_t *spec = json_copy(sound);
+            json_object_del(spec, field);
+            if (values[i] != NULL) {
+                json_object_set_new(
+                    spec, field, json_loads(values[i], JSON_DECODE_ANY, NULL));
+            }
+            struct cache_object object = {.name = "b1", .spec = spec};
+            struct backend_entry entry;
+            const char *bad_field = NULL;
+            if (platform_read_backend(&object, &entry, &bad_field) == RC_OK) {
+                g_string_append_printf(
+                    out, " %s", values[i] != NULL ? values[i] : "missing");
+            }
+            else if (strcmp(bad_field, field) != 0) {
+                g_string_append_printf(out, " (wrong field %s)", bad_field);
+            }
+            json_decref(spec);
+        }
+        g_string_append_c(out, '\n');
+    }
+    json_decref(sound);
+}
+
 /* > config SPEC: decodes a configuration; prints the route for /a/b/c */
 static void
 run_config(void *ctx, int argc, char **argv, GString *out)
@@ -531,6 +576,7 @@
     {"odd-lists", run_odd_lists},
     {"path", run_path},
     {"backend", run_backend},
+    {"backend-fields", run_backend_fields},
     {"config", run_config},
     {"answer-with-id", run_answer},
     {"vm", run_vm},
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -168,11 +168,11 @@
     char dc[16];
     g_snprintf(service, sizeof(service), "service%d", server->service);
     g_snprintf(dc, sizeof(dc), "dc%d", server->dc);
-    json_t *spec =
-        json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service", service,
-                  "address", server->address, "zone", dc, "slots", 4, "state",
-                  server->is_draining ? "draining" : "ready", "warmup_left_ms",
-                  0, "seq", 1);
+    json_t *spec = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
+                             service, "address", server->address, "zone", dc,
+                             "version", "v1", "slots", 4, "state",
+                             server->is_draining ? "draining" : "ready",
+                             "warmup_left_ms", 0, "seq", 1);
     store_put(server->soak->store, "servers", server->id, spec);
     json_decref(spec);
     server->is_registered = true;
