soak: entries of another writer and answers that are too long

Change: tests/odd generates entries that are odd in one way: a field is missing, doubled or of another type, the entry is cut off, its address cannot be connected to, or it is no entry at all. The soak writes them under a new name or in the place of a backend server's entry; the platform test uses the same generator. Some backend servers answer with more than a gateway takes. The soak checks that a request is executed only by a service of its route.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -12,6 +12,7 @@
 #include "common/http_server.h"
 #include "common/rc.h"
 #include "platform/platform.h"
+#include "odd.h"
 #include "script.h"
 
 /* Runs the encoders and decoders of the platform with valid messages and with
@@ -98,33 +99,14 @@
     g_free(text);
 }
 
-/* Pieces of which the bytes of an odd object are made. */
-static const char *const odd_pieces[] = {
-    "{",
-    "}",
-    "[",
-    "]",
-    "\"",
-    "\\",
-    ",",
-    ":",
-    " ",
-    "1",
-    "null",
-    "Infinity",
-    "-1e999",
-    "\xff",
-    "\x82\xa7service\xaa",
-    "\"a\"",
-    "\"a\":",
-    "{\"service\":\"s\",\"addr",
-    "{\"meta\":{\"name\":\"",
-    "\\u0000",
-};
-
-#define ODD_PIECES_MAX 12
 #define ODD_LIST_OBJECTS 6
 
+static uint32_t
+odd_draw(uint32_t limit, void *ctx)
+{
+    return (uint32_t)g_rand_int_range(ctx, 0, (gint32)limit);
+}
+
 /* Appends an object to the text of a list or watch. A sound one has its number
  * as revision and spec. */
 static void
@@ -139,10 +121,11 @@
     if (!is_odd) {
         g_string_append_printf(text, "{\"a\":[%d,\"]}\"]}", number);
     }
-    for (int i = g_rand_int_range(rand, 0, ODD_PIECES_MAX); is_odd && i > 0;
-         i--) {
-        gint32 piece = g_rand_int_range(rand, 0, G_N_ELEMENTS(odd_pieces));
-        g_string_append(text, odd_pieces[piece]);
+    else if (number % 2 == 0) {
+        odd_append_pieces(text, odd_draw, rand);
+    }
+    else {
+        odd_append_entry(text, "s", "10.0.0.1:80", odd_draw, rand);
     }
     g_string_append_printf(text, ",\"status\":null}%s", is_watch ? "}" : "");
 }
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -129,6 +129,11 @@
         return;
     }
     request->executions += 1;
+    bool is_shard = server->service < SOAK_SHARDS;
+    if (is_shard != (request->kind == CALLER_GATHER)) {
+        soak_violation(soak, "route", "%s was executed by service%d", id,
+                       server->service);
+    }
     if (request->kind == CALLER_NON_IDEMPOTENT && request->executions > 1) {
         soak_violation(soak, "executed twice", "%s was executed %d times", id,
                        request->executions);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 
+#include "odd.h"
 #include "soak.h"
 
 /* Average time between two faults. */
@@ -216,9 +217,49 @@
     server_restart(&soak->servers[SOAK_SHARDS * SOAK_REPLICAS + target]);
 }
 
+/* Some answers are too long for the gateways; the request was executed. */
+static void
+fault_server_long(struct soak *soak, int target, int64_t now_us)
+{
+    soak->servers[target].is_long = true;
+}
+
+static uint32_t
+fault_draw(uint32_t limit, void *ctx)
+{
+    return soak_random(ctx, limit);
+}
+
+/* Another writer leaves an odd entry for a service, under a new name or in the
+ * place of this backend server's entry. */
+static void
+fault_odd_entry(struct soak *soak, int target, int64_t now_us)
+{
+    const struct server *server = &soak->servers[target];
+    char service[16];
+    g_snprintf(service, sizeof(service), "service%u",
+               soak_random(soak, SOAK_SERVICES));
+    GString *raw = g_string_new(NULL);
+    odd_append_entry(raw, service, server->address, fault_draw, soak);
+    bool replaces = server->is_registered && soak_random(soak, 3) == 0;
+    store_put_raw(soak->store, "servers", replaces ? server->id : "odd",
+                  raw->str);
+    g_string_free(raw, TRUE);
+}
+
+static void
+fault_odd_entry_end(struct soak *soak, int target, int64_t now_us)
+{
+    store_delete(soak->store, "servers", "odd");
+    if (soak->servers[target].is_registered) {
+        server_register(&soak->servers[target]);
+    }
+}
+
 static void
 fault_server_ok(struct soak *soak, int target, int64_t now_us)
 {
+    soak->servers[target].is_long = false;
     soak->servers[target].is_slow = false;
     soak->servers[target].is_shedding = false;
     soak->servers[target].is_backing_off = false;
@@ -339,6 +380,10 @@
     {"store connections dead", fault_link_conns_silent, NULL, SOAK_VMS},
     {"server slow", fault_server_slow, fault_server_ok, SOAK_SERVERS},
     {"server sheds", fault_server_shed, fault_server_ok, SOAK_SERVERS},
+    {"server answers too long", fault_server_long, fault_server_ok,
+     SOAK_SERVERS},
+    {"odd entry", fault_odd_entry, fault_odd_entry_end, SOAK_SERVERS},
+    {"odd entry", fault_odd_entry, fault_odd_entry_end, SOAK_SERVERS},
     {"server spoils", fault_server_corrupt, fault_server_ok, SOAK_SERVERS},
     {"server dark", fault_server_silent, fault_server_link_ok, SOAK_SERVERS},
     {"server delayed", fault_server_delay, fault_server_link_ok, SOAK_SERVERS},
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -8,6 +8,7 @@
 #define SERVER_SLOW_FACTOR 12
 #define SERVER_RECORDS 12
 #define SERVER_RECORD_BYTES 16
+#define SERVER_LONG_BYTES (9 * 1024 * 1024)
 
 /* A request in service. */
 struct server_work {
@@ -17,6 +18,7 @@
     char id[64];
     char stamp[128];
     bool is_corrupted;
+    bool is_long;
 };
 
 int
@@ -54,6 +56,13 @@
         http_field_of("server-leaving", "1"),
     };
     size_t count = G_N_ELEMENTS(fields) - (server->is_announcing ? 0 : 1);
+    if (work->is_long) {
+        char *filler = g_strnfill(SERVER_LONG_BYTES, 'x');
+        http_server_respond_fields(work->http, 200, fields, count, filler,
+                                   SERVER_LONG_BYTES);
+        g_free(filler);
+        return;
+    }
     http_server_respond_fields(work->http, 200, fields, count, body,
                                sizeof(body));
 }
@@ -137,6 +146,7 @@
         work->http = http;
         work->is_corrupted =
             server->is_corrupting && soak_random(soak, 8) == 0;
+        work->is_long = server->is_long && soak_random(soak, 8) == 0;
         g_strlcpy(work->id, id, sizeof(work->id));
         g_snprintf(work->stamp, sizeof(work->stamp), "s%d-%s:%s:%u",
                    server->service, server->id, id,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -96,6 +96,9 @@
 /* Creates or replaces the object; keeps a reference to `spec`. */
 void store_put(struct store *store, const char *kind, const char *name,
                json_t *spec);
+/* The same with bytes of another writer in the place of the spec. */
+void store_put_raw(struct store *store, const char *kind, const char *name,
+                   const char *raw);
 void store_delete(struct store *store, const char *kind, const char *name);
 void store_set_mode(struct store *store, enum store_mode mode);
 /* Drops the history of changes and answers all watches with 410. */
@@ -131,6 +134,7 @@
     bool is_backing_off; /* rejects all requests and wants none */
     struct server_notice notices[SOAK_VMS];
     bool is_corrupting; /* some answers carry the id of another request */
+    bool is_long;       /* some answers are longer than any gateway takes */
 };
 void server_open(struct soak *soak, struct server *server, int index);
 /* Writes its entry into the store. */
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -14,6 +14,7 @@
     char *key; /* KIND/NAME */
     int64_t revision;
     json_t *spec; /* NULL: deleted */
+    char *raw;    /* bytes that stand for the spec, or NULL */
 };
 
 /* A long poll for events of a kind after a revision. */
@@ -102,14 +103,36 @@
     return json;
 }
 
+/* Puts the bytes of an object in the place of its spec. */
+static void
+store_insert_raw(const struct store_object *object, GString *text)
+{
+    if (object->raw != NULL) {
+        char *placeholder =
+            g_strdup_printf("\"%s\"", json_string_value(object->spec));
+        g_string_replace(text, placeholder, object->raw, 0);
+        g_free(placeholder);
+    }
+}
+
 static char *
-store_dump(json_t *json)
+store_dump(const struct store *store, json_t *json)
 {
-    char *text = json_dumps(json, JSON_COMPACT);
-    char *copy = g_strdup(text);
-    free(text);
+    char *dumped = json_dumps(json, JSON_COMPACT);
+    GString *text = g_string_new(dumped);
+    free(dumped);
     json_decref(json);
-    return copy;
+    GHashTableIter iter;
+    gpointer object = NULL;
+    g_hash_table_iter_init(&iter, store->objects);
+    while (g_hash_table_iter_next(&iter, NULL, &object)) {
+        store_insert_raw(object, text);
+    }
+    for (const GList *item = store->history.head; item != NULL;
+         item = item->next) {
+        store_insert_raw(item->data, text);
+    }
+    return g_string_free(text, FALSE);
 }
 
 static bool
@@ -139,7 +162,8 @@
         }
     }
     g_list_free(keys);
-    return store_dump(json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
+    return store_dump(store,
+                      json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
                                 "current_rev", (json_int_t)store->revision));
 }
 
@@ -161,7 +185,8 @@
         json_decref(events);
         return NULL;
     }
-    return store_dump(json_pack("{s:o,s:I}", "events", events, "current_rev",
+    return store_dump(store,
+                      json_pack("{s:o,s:I}", "events", events, "current_rev",
                                 (json_int_t)store->revision));
 }
 
@@ -218,33 +243,38 @@
 {
     struct store_object *object = data;
     g_free(object->key);
+    g_free(object->raw);
     json_decref(object->spec);
     g_free(object);
 }
 
 static struct store_object *
-store_object_new(const char *key, int64_t revision, json_t *spec)
+store_object_new(const char *key, int64_t revision, json_t *spec,
+                 const char *raw)
 {
     struct store_object *object = g_new0(struct store_object, 1);
     object->key = g_strdup(key);
     object->revision = revision;
     object->spec = json_incref(spec);
+    object->raw = g_strdup(raw);
     return object;
 }
 
 /* Sets the object, or deletes it if `spec` is NULL, under the next revision
  * and adds the event to the history. */
 static void
-store_commit(struct store *store, const char *key, json_t *spec)
+store_commit(struct store *store, const char *key, json_t *spec,
+             const char *raw)
 {
     store->revision += 1;
-    struct store_object *object = store_object_new(key, store->revision, spec);
+    struct store_object *object =
+        store_object_new(key, store->revision, spec, raw);
     if (spec == NULL) {
         g_hash_table_remove(store->objects, key);
     }
     else {
         g_hash_table_replace(store->objects, object->key, object);
-        object = store_object_new(key, store->revision, spec);
+        object = store_object_new(key, store->revision, spec, raw);
     }
     g_queue_push_tail(&store->history, object);
     if (store->history.length > STORE_HISTORY_MAX) {
@@ -260,7 +290,19 @@
           json_t *spec)
 {
     char *key = g_strdup_printf("%s/%s", kind, name);
-    store_commit(store, key, spec);
+    store_commit(store, key, spec, NULL);
+    g_free(key);
+}
+
+void
+store_put_raw(struct store *store, const char *kind, const char *name,
+              const char *raw)
+{
+    char *key = g_strdup_printf("%s/%s", kind, name);
+    json_t *placeholder =
+        json_sprintf("raw %s %" G_GINT64_FORMAT, key, store->revision + 1);
+    store_commit(store, key, placeholder, raw);
+    json_decref(placeholder);
     g_free(key);
 }
 
@@ -269,7 +311,7 @@
 {
     char *key = g_strdup_printf("%s/%s", kind, name);
     if (g_hash_table_contains(store->objects, key)) {
-        store_commit(store, key, NULL);
+        store_commit(store, key, NULL, NULL);
     }
     g_free(key);
 }
@@ -313,14 +355,14 @@
     if (strcmp(http->method, "DELETE") == 0) {
         status = exists ? 200 : 404;
         if (exists) {
-            store_commit(store, object_key, NULL);
+            store_commit(store, object_key, NULL, NULL);
         }
     }
     else if (is_create == exists) {
         status = is_create ? 409 : 404;
     }
     else {
-        store_commit(store, object_key, spec);
+        store_commit(store, object_key, spec, NULL);
     }
     g_free(object_key);
     json_decref(root);
