http_client: an interim response is passed over

Callers got a status 103 with a Content-Length and no further answer for a request that a backend server had run, if it sent an interim response first.

Cause: the first response was taken as the final one.

Change: responses with 100 to 199 other than 101 are passed over, with their headers. The request counts as sent once.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -100,17 +100,40 @@
     return 0;
 }
 
+/* Whether the response is an interim one, which another one follows. 101 would
+ * end the protocol; no request asks for that. */
+static bool
+http_client_is_interim(const http_parser *parser)
+{
+    return parser->status_code >= 100 && parser->status_code < 200 &&
+           parser->status_code != 101;
+}
+
 static int
 http_client_on_headers_complete(http_parser *parser)
 {
     struct http_client_conn *conn = parser->data;
-    return conn->is_head ? 1 : 0;
+    bool has_no_body = conn->is_head || http_client_is_interim(parser);
+    return has_no_body ? 1 : 0;
+}
+
+/* Forgets what was read of a response. */
+static void
+http_client_reset_response(struct http_client_conn *conn)
+{
+    g_byte_array_set_size(conn->body, 0);
+    g_string_truncate(conn->field_text, 0);
+    g_array_set_size(conn->field_spans, 0);
 }
 
 static int
 http_client_on_message_complete(http_parser *parser)
 {
     struct http_client_conn *conn = parser->data;
+    if (http_client_is_interim(parser)) {
+        http_client_reset_response(conn);
+        return 0;
+    }
     conn->is_complete = true;
     http_parser_pause(parser, 1);
     return 0;
@@ -410,9 +433,7 @@
     conn->is_head = is_head;
     conn->is_too_large = false;
     conn->is_complete = false;
-    g_byte_array_set_size(conn->body, 0);
-    g_string_truncate(conn->field_text, 0);
-    g_array_set_size(conn->field_spans, 0);
+    http_client_reset_response(conn);
 
     struct http_client_write *write = g_new0(struct http_client_write, 1);
     write->data = request;
--- a/tests/gateway/test_reset.c
+++ b/tests/gateway/test_reset.c
@@ -30,6 +30,8 @@
     const char *text; /* what the peer sends */
     size_t text_bytes;
     int rc;
+    int status;
+    size_t field_count;
     size_t body_bytes;
 };
 
@@ -39,6 +41,8 @@
 {
     struct reset_test *test = ctx;
     test->rc = response->rc;
+    test->status = response->status;
+    test->field_count = response->field_count;
     test->body_bytes = response->body_bytes;
     http_client_close(conn);
     uv_close((uv_handle_t *)&test->listener, NULL);
@@ -144,6 +148,25 @@
     assert_int_equal(test.rc, RC_LINK_LOST);
 }
 
+/* Guards against an interim response that counts as the final one: it is
+ * passed over, and its headers are not those of the final one. */
+static void
+test_interim(void **state)
+{
+    static const char text[] =
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 7\r\nLink: x\r\n\r\n"
+        "HTTP/1.1 100 Continue\r\n\r\n"
+        "HTTP/1.1 207 Multi-Status\r\nContent-Length: 2\r\n\r\nab";
+    for (size_t cut = 1; cut <= strlen(text); cut++) {
+        struct reset_test test = {.text = text, .text_bytes = cut};
+        run(&test);
+        bool is_whole = cut == strlen(text);
+        assert_int_equal(test.rc == RC_OK, is_whole);
+        assert_int_equal(test.status, is_whole ? 207 : 0);
+        assert_int_equal(test.field_count, is_whole ? 1 : test.field_count);
+    }
+}
+
 /* The peer closes after each proper prefix of a response. One that ends with
  * its connection is whole as soon as its head is. */
 static void
@@ -277,8 +300,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_closed),  cmocka_unit_test(test_reset),
-        cmocka_unit_test(test_cut),     cmocka_unit_test(test_long),
-        cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_interim), cmocka_unit_test(test_cut),
+        cmocka_unit_test(test_long),    cmocka_unit_test(test_refused),
     };
     return cmocka_run_group_tests_name("gateway-reset", tests, NULL, NULL);
 }
