balancer: the limit of a cold backend server holds in any second

A cold backend server could get twice its limit within one second.

Cause: requests were counted in seconds that follow one another, and the limit holds for each span of a second. The random test of the request path read the same counter.

Change: gateway/cold keeps the times of the latest requests to a cold backend server and counts those of the last second. soak_core counts what was sent by itself, in each span of a second.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -56,11 +56,9 @@
         !backend_is_cold(backend, now_us)) {
         return false;
     }
-    bool is_same_second =
-        now_us - backend->cold.window_start_us < BALANCER_SECOND_US;
-    uint32_t used = is_same_second ? backend->cold.count : 0;
     /* Requests that wait for their connection will be sent too. */
-    used += backend_connecting_count(backend);
+    uint32_t used =
+        cold_count(&backend->cold, now_us) + backend_connecting_count(backend);
     struct share_place place = request->bounds.place;
     /* Shifted by the backend server, so that each VM may send to some of
      * them. */
@@ -68,7 +66,7 @@
     uint32_t share = share_cold_per_s(
         request->service->warmup_per_s, request->bounds.warmup_overshoot,
         request->bounds.warmup_slack, request->bounds.vms, place);
-    return used >= share;
+    return used >= MIN(share, COLD_COUNT_MAX);
 }
 
 /*
@@ -439,8 +437,7 @@
         backend->next_late_us =
             now_us + backend->latency_us * vms / MAX(backend->slots, 1);
     }
-    if (now_us - backend->cold.window_start_us >= BALANCER_SECOND_US) {
-        backend->cold = (struct cold_window){.window_start_us = now_us};
+    if (backend_is_cold(backend, now_us)) {
+        cold_on_send(&backend->cold, now_us);
     }
-    backend->cold.count += 1;
 }
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/cold.h"
 #include "gateway/notice.h"
 
 /*
@@ -45,12 +46,6 @@
     void *io;               /* of the I/O side */
 };
 
-/* Counts requests to a cold backend server in windows of one second. */
-struct cold_window {
-    int64_t window_start_us;
-    uint32_t count;
-};
-
 struct backend {
     uint32_t references;
     char *id;
@@ -79,8 +74,8 @@
     /* When its address answered for another backend server, or 0; it is not
      * used until its entry changes. */
     int64_t wrong_id_us;
-    struct notice notice; /* what its answers said of itself */
-    struct cold_window cold;
+    struct notice notice;   /* what its answers said of itself */
+    struct cold_sends cold; /* requests while it was cold */
 };
 
 /* Callbacks to the I/O side. */
--- a/tests/gateway/soak_core.c
+++ b/tests/gateway/soak_core.c
@@ -80,6 +80,7 @@
     struct counter_set *counters;
     GHashTable *requests; /* id -> struct soak_request */
     GHashTable *links;    /* struct backend_link -> struct soak_link */
+    GHashTable *recent;   /* backend id -> GArray of times, the last second */
     int64_t now_us;
     int64_t version;
     uint64_t request_count;
@@ -193,23 +194,42 @@
     g_hash_table_remove(soak->links, backend_link);
 }
 
-/* Checks the limit of requests to a cold backend server, except shortly after
- * it became cold or the number of VMs changed: requests that were in flight
- * before are not limited. */
+/* Returns how many requests were sent to the backend server in the second that
+ * ends now, and records one more. */
+static uint32_t
+soak_count_sends(struct soak *soak, const struct backend *backend)
+{
+    GArray *sends = g_hash_table_lookup(soak->recent, backend->id);
+    if (sends == NULL) {
+        sends = g_array_new(FALSE, FALSE, sizeof(int64_t));
+        g_hash_table_insert(soak->recent, g_strdup(backend->id), sends);
+    }
+    while (sends->len > 0 &&
+           soak->now_us - g_array_index(sends, int64_t, 0) >= SECOND_US) {
+        g_array_remove_index(sends, 0);
+    }
+    uint32_t count = sends->len;
+    g_array_append_val(sends, soak->now_us);
+    return count;
+}
+
+/* Checks the limit of requests to a cold backend server in each span of a
+ * second, except shortly after it became cold or the number of VMs changed:
+ * requests that were in flight before are not limited. */
 static void
-soak_check_cold(const struct soak *soak, const struct backend *backend)
+soak_check_cold(struct soak *soak, const struct backend *backend)
 {
+    uint32_t count = soak_count_sends(soak, backend);
     int64_t cold_start_us = backend->cold_until_us - WARMUP_US;
     if (!backend_is_cold(backend, soak->now_us) ||
-        soak->now_us - MAX(cold_start_us, soak->vms_changed_us) < SETTLE_US ||
-        soak->now_us - backend->cold.window_start_us >= SECOND_US) {
+        soak->now_us - MAX(cold_start_us, soak->vms_changed_us) < SETTLE_US) {
         return;
     }
     uint32_t share =
         share_cold_per_s(WARMUP_PER_S, soak->gateway.bounds.warmup_overshoot,
                          soak->gateway.bounds.warmup_slack, soak->gateway.vms,
                          soak->gateway.place);
-    SOAK_CHECK(backend->cold.count < share,
+    SOAK_CHECK(count < share,
                "more requests than a cold backend server may get");
 }
 
@@ -592,6 +612,8 @@
         .requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                           soak_request_free),
         .links = g_hash_table_new_full(NULL, NULL, NULL, soak_link_free),
+        .recent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify)g_array_unref),
         .now_us = 1000000LL * MS,
     };
     gateway_init(&soak->gateway, "d1", &soak_callbacks, soak, soak->counters);
@@ -632,6 +654,7 @@
     gateway_clear(&soak->gateway);
     g_hash_table_destroy(soak->requests);
     g_hash_table_destroy(soak->links);
+    g_hash_table_destroy(soak->recent);
     g_rand_free(soak->rand);
     counter_set_free(soak->counters);
 }
