--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -304,6 +304,27 @@
     json_decref(spec);
 }
 
+/* > weights SPEC: decodes a configuration; prints the weights of the route for
+ * /a/b/c */
+static void
+run_weights(void *ctx, int argc, char **argv, GString *out)
+{
+    json_t *spec = json_loads(argv[1], 0, NULL);
+    struct cache_object object = {.name = "main", .spec = spec};
+    struct gateway_config *config = NULL;
+    assert_int_equal(platform_read_config(&object, &config), RC_OK);
+    const struct route *route =
+        gateway_config_find_route(config, "h", "/a/b/c");
+    for (guint i = 0; i < route->targets->len; i++) {
+        const struct route_target *target =
+            &g_array_index(route->targets, struct route_target, i);
+        g_string_append_printf(out, "%s=%u ", target->service->name,
+                               target->weight);
+    }
+    gateway_config_unref(config);
+    json_decref(spec);
+}
+
 /* > vm SPEC: decodes the object of a VM and prints its peer address */
 static void
 run_vm(void *ctx, int argc, char **argv, GString *out)
@@ -561,6 +582,7 @@
     {"backend", run_backend},
     {"backend-fields", run_backend_fields},
     {"config", run_config},
+    {"weights", run_weights},
     {"answer-with-id", run_answer},
     {"vm", run_vm},
     {"write-vm", run_write_vm},
