gateway: the registration has a file of its own

Cause: gateway/store_io.c held two jobs: the lists and watches of each kind, and the registration of this VM.

Change: gateway/register_io.c has the registration; functions and constants have its prefix. No behaviour changes.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -305,7 +305,7 @@
         now_us - sync_age_us(&app->sync, OBJECT_BACKENDS, now_us);
     backend_tick(&app->gateway.backends, now_us);
     peer_io_tick(app->peers, now_us);
-    store_io_tick(app->store, now_us);
+    register_io_tick(app->registration, now_us);
     roster_io_tick(app->roster, now_us);
     app_run_housekeeping(app, now_us);
     if (app->front->tick != NULL) {
@@ -363,7 +363,7 @@
     log_info("app", "stopping signal=%d open_requests=%u", number,
              app->gateway.requests.length);
     peer_io_send_heartbeats(app->peers);
-    store_io_deregister(app->store);
+    register_io_stop(app->registration);
     app->front->drain(app);
 }
 
@@ -420,6 +420,7 @@
     app->front->close(app);
     gateway_clear(&app->gateway);
     store_io_free(app->store);
+    register_io_free(app->registration);
     roster_io_free(app->roster);
     peer_io_free(app->peers);
     sync_clear(&app->sync);
@@ -465,6 +466,7 @@
     app->members.self->dc = g_strdup(app->settings.dc);
     sync_init(&app->sync, &app_sync_callbacks, app);
     app->store = store_io_new(app);
+    app->registration = register_io_new(app);
     app->roster = roster_io_new(app);
     int rc = peer_io_new(app, &app->peers);
     if (rc == RC_OK) {
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -40,6 +40,7 @@
 };
 
 struct store_io;
+struct register_io;
 struct peer_io;
 struct roster_io;
 
@@ -56,6 +57,7 @@
     struct members members;
     struct sync sync;
     struct store_io *store;
+    struct register_io *registration;
     struct peer_io *peers;
     struct roster_io *roster;
     uv_timer_t tick_timer;
@@ -94,16 +96,21 @@
  * are known and the process is not stopping. */
 bool app_is_ready(const struct app *app);
 
-/* Calls to the store (store_io.c). */
+/* Lists and watches in the store (store_io.c). */
 struct store_io *store_io_new(struct app *app);
 void store_io_free(struct store_io *store);
 /* Starts a fetch from the store; the result goes to sync_on_reply(). */
 void store_io_fetch(struct store_io *store, const struct sync_fetch *fetch);
+
+/* This VM's object in the store and the list of the other VMs (register_io.c).
+ */
+struct register_io *register_io_new(struct app *app);
+void register_io_free(struct register_io *registration);
 /* Handles timeouts, and renews this VM's object and lists the other VMs when
  * that is due. */
-void store_io_tick(struct store_io *store, int64_t now_us);
+void register_io_tick(struct register_io *registration, int64_t now_us);
 /* Deletes this VM's object. */
-void store_io_deregister(struct store_io *store);
+void register_io_stop(struct register_io *registration);
 
 /* Reads and writes the roster of backend servers in the store (roster_io.c).
  */
