--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -219,6 +219,11 @@
 void backend_close_idle_links(struct backend_set *set,
                               struct backend *backend);
 
+/* Closes links that were idle or abandoned for too long. Links that carry an
+ * attempt are closed by its owner. */
+void backend_tick_links(struct backend_set *set, struct backend *backend,
+                        int64_t now_us);
+
 /* Closes and frees the link. */
 void backend_close_link(struct backend_set *set, struct backend_link *link);
 
