soak: VMs that are out of descriptors

Change: a fault that leaves a running VM 24 descriptors for some seconds, so that connect() and accept() fail at once. The soak's own check finds a process that ends.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <sys/resource.h>
 
 #include "odd.h"
 #include "soak.h"
@@ -8,6 +9,10 @@
 /* A fault lasts 0.2 s plus a random time below this. */
 #define FAULT_DURATION_SPREAD_US (5 * SOAK_SECOND_US)
 
+/* Limits of open descriptors of a VM. */
+#define FAULT_FILES_FEW 24
+#define FAULT_FILES_MAX 1024
+
 typedef void (*fault_cb)(struct soak *soak, int target, int64_t now_us);
 
 /* A kind may be listed twice in fault_kinds, which doubles its weight. */
@@ -67,6 +72,30 @@
     vm_signal(&soak->vms[target], SIGCONT);
 }
 
+static void
+fault_limit_files(struct soak *soak, int target, rlim_t count, int64_t now_us)
+{
+    struct vm *vm = &soak->vms[target];
+    struct rlimit limit = {.rlim_cur = count, .rlim_max = FAULT_FILES_MAX};
+    vm->disturbed_us = now_us;
+    if (vm->is_running) {
+        (void)prlimit(vm->process.pid, RLIMIT_NOFILE, &limit, NULL);
+    }
+}
+
+/* The process gets no further descriptors: connect() and accept() fail. */
+static void
+fault_files(struct soak *soak, int target, int64_t now_us)
+{
+    fault_limit_files(soak, target, FAULT_FILES_FEW, now_us);
+}
+
+static void
+fault_files_end(struct soak *soak, int target, int64_t now_us)
+{
+    fault_limit_files(soak, target, FAULT_FILES_MAX, now_us);
+}
+
 static void
 fault_store_mode(struct soak *soak, enum store_mode mode, int64_t now_us)
 {
@@ -366,6 +395,7 @@
     {"vm stopped", fault_term, NULL, SOAK_VMS},
     {"vm stopped", fault_term, NULL, SOAK_VMS},
     {"vm reloads", fault_hup, NULL, SOAK_VMS},
+    {"vm out of descriptors", fault_files, fault_files_end, SOAK_VMS},
     {"vm paused", fault_pause, fault_resume, SOAK_VMS},
     {"store busy", fault_store_busy, fault_store_ok, 1},
     {"store slow", fault_store_slow, fault_store_ok, 1},
