backend: links that fail together count as one failed try

Cause: each refused link counted as a try, so that one moment in which a backend server refused the links of three requests made it unreachable, with a pause of up to 320 ms.

Change: a failure within the pause after another one does not count.

Result: core.txt "after one moment"; without the change all three requests are refused at once (link_failed, limit, limit).

--- a/gateway/backend_link.c
+++ b/gateway/backend_link.c
@@ -131,6 +131,10 @@
 void
 backend_on_connect_failure(struct backend *backend, int64_t now_us)
 {
+    /* Links that were opened together fail together: that is one try. */
+    if (now_us < backend->connect_from_us) {
+        return;
+    }
     uint32_t doublings = MIN(backend->connect_failures, 8);
     int64_t pause_us = (int64_t)BACKEND_CONNECT_PAUSE_MIN_US << doublings;
     backend->connect_failures += 1;
