Revert "gateway: a long deadline of one caller does not make others look like retries"

Cause: the change counted a caller's wait only up to the timeout of the route. Callers may have deadlines beyond it, and configurations change the timeouts; then a caller that comes back no longer looks like one.

--- a/gateway/request_start.c
+++ b/gateway/request_start.c
@@ -11,9 +11,8 @@
  * Returns the time that the caller has already spent on earlier tries and on
  * connecting. A request says how long its caller still waits, and all callers
  * of a route start with the same wait, so it is the difference to the longest
- * wait seen. `wait_us` is no longer than the timeout of the route. Returns 0
- * if that is not below the objective: the request is late in any case, or its
- * caller started with another wait.
+ * wait seen. Returns 0 if that is not below the objective: the request is late
+ * in any case, or its caller started with another wait.
  */
 static int64_t
 gateway_spent_us(struct gateway *gateway, const struct route *route,
@@ -65,7 +64,7 @@
         arrival.first_target = gateway_pick_target(gateway, route);
     }
     if (params->estimate_spent && params->deadline_us < INT64_MAX) {
-        int64_t wait_us = arrival.deadline_us - now_us;
+        int64_t wait_us = params->deadline_us - now_us;
         arrival.spent_us = gateway_spent_us(gateway, route, wait_us);
         arrival.is_retry = gateway_is_retry(gateway, route, wait_us);
     }
