--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -44,6 +44,7 @@
 static FILE *record;
 static int net;
 static char folder[128];
+static volatile sig_atomic_t was_signalled;
 static struct gateway *started[GATEWAYS_MAX];
 static int started_count;
 
@@ -106,7 +107,7 @@
             started[i]->pid = 0;
         }
     }
-    if (folder[0] != '\0' && getenv("KEEP") == NULL) {
+    if (folder[0] != '\0') {
         for (int i = 0; i < started_count; i++) {
             unlink(started[i]->settings);
             unlink(started[i]->log);
@@ -198,8 +199,7 @@
 static void
 world_on_signal(int number)
 {
-    world_end_processes();
-    _exit(2);
+    was_signalled = 1;
 }
 
 void
@@ -406,7 +406,8 @@
     char *line = strtok_r(*copy, "\r\n", &save);
     char *word_save = NULL;
     for (int i = 0; i < 3; i++) {
-        char *word = strtok_r(i == 0 ? line : NULL, i < 2 ? " " : "", &word_save);
+        char *word =
+            strtok_r(i == 0 ? line : NULL, i < 2 ? " " : "", &word_save);
         out->start[i] = word != NULL ? word : "";
     }
     while ((line = strtok_r(NULL, "\r\n", &save)) != NULL &&
@@ -579,10 +580,9 @@
         }
         if (polled[i] == NULL) {
             struct listener *listener = polled_listeners[i];
-            int fd = listener->fd < 0
-                         ? -1
-                         : accept4(listener->fd, NULL, NULL,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+            int fd = listener->fd < 0 ? -1
+                                      : accept4(listener->fd, NULL, NULL,
+                                                SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (fd >= 0) {
                 listener->on_accept(conn_new(fd), listener->ctx);
             }
@@ -609,11 +609,14 @@
             timer->callback(timer->ctx);
             free(timer);
         }
-        double next = timers != NULL && timers->due_s < end_s ? timers->due_s
-                                                              : end_s;
+        double next =
+            timers != NULL && timers->due_s < end_s ? timers->due_s : end_s;
         int wait_ms = (int)((next - world_now()) * 1000) + 1;
         world_poll(wait_ms < 0 ? 0 : wait_ms > 50 ? 50 : wait_ms);
         world_reap();
+        if (was_signalled) {
+            world_give_up("ended by a signal");
+        }
         now = world_now();
     }
 }
@@ -639,8 +642,8 @@
 };
 
 char store_address[32];
-static struct object *objects;      /* as they are */
-static struct object *history;      /* all changes, latest first */
+static struct object *objects; /* as they are */
+static struct object *history; /* all changes, latest first */
 static struct watch *watches;
 static int64_t store_revision = 100;
 
@@ -1201,7 +1204,8 @@
     work->searcher = searcher;
     work->generation = searcher->generation;
     work->conn = conn->serial;
-    work->deadline_s = world_now() + (deadline != NULL ? atof(deadline) : 30000) / 1000;
+    work->deadline_s =
+        world_now() + (deadline != NULL ? atof(deadline) : 30000) / 1000;
     snprintf(work->id, sizeof(work->id), "%s", id);
     if (searcher->queue_tail != NULL) {
         searcher->queue_tail->next = work;
@@ -1282,8 +1286,7 @@
 {
     struct timespec now;
     clock_gettime(CLOCK_REALTIME, &now);
-    searcher->born_ms =
-        (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    searcher->born_ms = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
     searcher->generation += 1;
     searcher->seq = 0;
     searcher->running = 0;
@@ -1323,11 +1326,11 @@
 int
 searcher_report(const struct searcher *searcher, int limit)
 {
-    world_log("%s: %d requests, %d ran; at most %d in a second while cold (the "
-              "second that ends at %.3f s), %d are allowed; %d crashes of it",
-              searcher->id, searcher->arrival_count, searcher->runs,
-              searcher->cold_peak, searcher->cold_peak_s, limit,
-              searcher->crashes);
+    world_log(
+        "%s: %d requests, %d ran; at most %d in a second while cold (the "
+        "second that ends at %.3f s), %d are allowed; %d crashes of it",
+        searcher->id, searcher->arrival_count, searcher->runs,
+        searcher->cold_peak, searcher->cold_peak_s, limit, searcher->crashes);
     return searcher->cold_peak;
 }
 
@@ -1387,9 +1390,7 @@
 gateway_start(struct gateway *gateway)
 {
     pid_t parent = getpid();
-    const char *program = getenv("GATEWAY") != NULL
-                              ? getenv("GATEWAY")
-                              : "target/gateway/carobhatch-gateway";
+    static const char program[] = "target/gateway/carobhatch-gateway";
     fflush(record);
     pid_t pid = fork();
     if (pid == 0) {
@@ -1485,7 +1486,9 @@
         request->status = atoi(answer->start[1]);
         request->body_bytes = answer->body_bytes;
         snprintf(request->stamp, sizeof(request->stamp), "%s",
-                 stamp != NULL ? stamp : parts != NULL ? parts : "");
+                 stamp != NULL   ? stamp
+                 : parts != NULL ? parts
+                                 : "");
         snprintf(request->answer_id, sizeof(request->answer_id), "%s",
                  id != NULL ? id : "");
     }
@@ -1538,7 +1541,7 @@
     if (client_request_count % 4096 == 0) {
         client_requests =
             realloc(client_requests, (size_t)(client_request_count + 4096) *
-                                         sizeof(*client_requests));
+                                         sizeof(struct client_request *));
     }
     client_requests[client_request_count] = request;
     client_request_count += 1;
@@ -1548,8 +1551,7 @@
     request->route = route;
     request->sent_s = world_now();
     struct client_conn *own = client_conns;
-    while (own != NULL &&
-           (own->gateway != gateway || own->request != NULL)) {
+    while (own != NULL && (own->gateway != gateway || own->request != NULL)) {
         own = own->next;
     }
     if (own == NULL) {
@@ -1575,12 +1577,12 @@
                  body_bytes);
     }
     char head[1024];
-    int head_bytes = snprintf(
-        head, sizeof(head),
-        "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n"
-        "X-Request-Deadline-Ms: %d\r\n%s%s\r\n",
-        method, target, host, request->id, deadline_ms, length,
-        more_headers != NULL ? more_headers : "");
+    int head_bytes =
+        snprintf(head, sizeof(head),
+                 "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n"
+                 "X-Request-Deadline-Ms: %d\r\n%s%s\r\n",
+                 method, target, host, request->id, deadline_ms, length,
+                 more_headers != NULL ? more_headers : "");
     char *all = xalloc((size_t)head_bytes + body_bytes + 1);
     memcpy(all, head, (size_t)head_bytes);
     if (body != NULL) {
@@ -1636,9 +1638,10 @@
     int count = 0;
     for (int i = 0; i < client_request_count; i++) {
         const struct client_request *request = client_requests[i];
-        bool has_no_outcome = request->answered_s > 0 &&
-                              (request->status == 0 || request->status == 502 ||
-                               request->status == 504);
+        bool has_no_outcome =
+            request->answered_s > 0 &&
+            (request->status == 0 || request->status == 502 ||
+             request->status == 504);
         count += has_no_outcome && runs_of(request->id) > 0;
     }
     return count;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -47,7 +47,8 @@
 void world_address(char out[32], int high, int low, int port);
 /* Writes a line with the time to the record. */
 void world_log(const char *format, ...) __attribute__((format(printf, 1, 2)));
-/* Ends all processes, writes the verdict and exits: 1 if `is_broken`, else 0. */
+/* Ends all processes, writes the verdict and exits: 1 if `is_broken`, else 0.
+ */
 void world_finish(bool is_broken, const char *format, ...)
     __attribute__((format(printf, 2, 3), noreturn));
 /* The same with exit status 2: the case could not run. */
@@ -102,7 +103,8 @@
 void store_open(void);
 extern char store_address[32];
 /* Writes a configuration with one route, /order/ on desk.example, to the
- * service "desk", whose cold searchers take `warmup_per_s` requests a second. */
+ * service "desk", whose cold searchers take `warmup_per_s` requests a second.
+ */
 void store_put_config(const char *type, double warmup_s, double warmup_per_s);
 /* Creates or replaces an object; `spec` is JSON text. */
 void store_put(const char *kind, const char *name, const char *spec);
@@ -145,7 +147,7 @@
     int crash_per_s;
     double restart_s;
     double warmup_s;
-    int crashes; /* of too many requests while cold */
+    int crashes;   /* of too many requests while cold */
     int cold_peak; /* most requests in WORLD_WINDOW_S while cold */
     double cold_peak_s;
 };
@@ -222,7 +224,8 @@
     void *ctx;
 };
 
-/* Sends a request on a kept or a new connection. Requests are kept for ever. */
+/* Sends a request on a kept or a new connection. Requests are kept for ever.
+ */
 struct client_request *client_send(struct gateway *gateway, const char *route,
                                    const char *method, const char *host,
                                    const char *target, int deadline_ms,
