review: two cases that run at the same time take different networks

Cause: a case probed for a free network and let it go before it opened its store, so that two cases that ran at the same time could take the same one; one of three such runs could not run.

Change: the probe's socket stays open.

--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -216,15 +216,17 @@
     }
     setvbuf(record, NULL, _IOFBF, 1 << 16);
     srand((unsigned)getpid() ^ (unsigned)time(NULL));
-    for (int i = 0; i < 50; i++) {
+    /* The socket stays open: another case that runs at the same time takes
+     * another network. */
+    int claim = -1;
+    for (int i = 0; i < 50 && claim < 0; i++) {
         net = 20 + rand() % 200;
-        char probe[32];
-        world_address(probe, 0, 1, 7001);
-        int fd = socket_listen(probe);
-        if (fd >= 0) {
-            close(fd);
-            break;
-        }
+        char address[32];
+        world_address(address, 0, 1, 7002);
+        claim = socket_listen(address);
+    }
+    if (claim < 0) {
+        world_give_up("no free network");
     }
     snprintf(folder, sizeof(folder), "%s/review-XXXXXX",
              getenv("TMPDIR") != NULL ? getenv("TMPDIR") : "/tmp");
