tests: crowds of clients that do not behave

Guards against a process that ends or cannot serve because of what clients, searchers or the store send, do not send or do not read. Each test starts one gateway with lowered limits (64 MiB, 400 descriptors), plays one crowd and checks that the process lives, that its memory and descriptors stay within the settings and that one ordinary request is answered beside the crowd.

--- /dev/null
+++ b/tests/crowd/crowd.h
@@ -0,0 +1,115 @@
+#ifndef CH_CROWD_H
+#define CH_CROWD_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "common/http_server.h"
+
+/*
+ * Crowd tests: one gateway process, stand-ins of the platform's store and of
+ * the backend servers, and a crowd of clients that send too much, read too
+ * slowly or stop in the middle. They check what does not depend on the speed
+ * of the machine: the process lives, its memory and open descriptors stay
+ * within its settings, and one ordinary request is answered beside the crowd.
+ * All but the gateway is one process with one libuv loop.
+ */
+
+#define CROWD_ADDRESS_BYTES 32
+#define CROWD_BODY_MAX_BYTES 262144 /* limit of the configuration */
+#define CROWD_SHARDS 20
+#define CROWD_ROUTE_TIMEOUT_MS 10000
+
+/* Addresses: the gateway has its own, all stand-ins share one. */
+#define CROWD_GATEWAY_HOST 11
+#define CROWD_STANDIN_HOST 1
+#define CROWD_REQUEST_PORT 23400
+#define CROWD_READY_PORT 23401
+#define CROWD_DIRECTORY_PORT 23402
+#define CROWD_PEER_PORT 23403
+#define CROWD_METRICS_PORT 23404
+#define CROWD_STORE_PORT 23000
+#define CROWD_SERVER_PORT 23100
+#define CROWD_DEAF_SERVER_PORT 23101
+
+/* What is done to the gateway while the crowd is connected. */
+enum crowd_event {
+    CROWD_NO_EVENT,
+    CROWD_RELOAD,     /* SIGHUP, with the same settings */
+    CROWD_STOP,       /* SIGTERM */
+    CROWD_SLOW_STORE, /* from the start of the crowd the store answers late */
+    CROWD_LONG_STORE, /* the store's answers become long */
+};
+
+/* What a group of clients does, each on a connection of its own. */
+struct crowd_clients {
+    uint32_t count;
+    uint16_t port;
+    const char *head; /* up to the blank line, which is not part of it */
+    uint64_t head_filler_bytes; /* header lines without end after `head` */
+    uint64_t announced_bytes;   /* Content-Length; 0: none */
+    uint64_t body_bytes;        /* sent after the head */
+    bool is_chunked;
+    bool reads; /* reads what comes, else nothing */
+};
+
+struct crowd_case {
+    const char *name;
+    struct crowd_clients clients[3]; /* until one with a count of 0 */
+    uint32_t memory_mb;
+    uint32_t files;
+    uint32_t answer_bytes; /* of the backend server, to clients of the crowd */
+    enum crowd_event event;
+};
+
+extern const struct crowd_case crowd_cases[];
+extern const size_t crowd_case_count;
+
+struct crowd_store;
+struct crowd_group;
+
+struct crowd {
+    uv_loop_t loop;
+    const struct crowd_case *test;
+    const char *gateway; /* path of the program */
+    const char *folder;  /* for the settings and the log */
+    int slot;            /* third byte of all addresses */
+    struct crowd_store *store;
+    uv_process_t process;
+    bool is_running;
+    int64_t exit_status;
+    uint64_t memory_peak_kb;
+    uint32_t files_peak;
+};
+
+/* Writes "127.0.SLOT.HOST:PORT" to `out` of CROWD_ADDRESS_BYTES. */
+void crowd_address(const struct crowd *crowd, int host, int port, char *out);
+
+/* standin.c: the store and the backend servers. */
+void standin_open(struct crowd *crowd);
+/* From now on the store answers after some seconds. */
+void standin_slow_store(struct crowd *crowd);
+/* From now on the store's answers are long lists of empty entries; watches end
+ * at once. */
+void standin_long_store(struct crowd *crowd);
+
+/* client.c: connects the clients of the group, which then send all they have.
+ */
+struct crowd_group *client_start(struct crowd *crowd,
+                                 const struct crowd_clients *clients);
+/* Whether each client has sent all or was cut off. */
+bool client_is_done(const struct crowd_group *group);
+/* Sends a request on a new connection; `*status` receives the HTTP status, or
+ * -1 if the connection ends before an answer. */
+void client_ask(struct crowd *crowd, uint16_t port, const char *request,
+                int *status);
+
+/* vm.c: the gateway process. */
+void vm_start(struct crowd *crowd);
+/* Reads the peak of the resident memory and the number of descriptors. */
+void vm_sample(struct crowd *crowd);
+
+#endif
