http_server: what clients send, withhold or do not read is bounded

What callers saw: a process ended, out of memory, beside clients that sent bodies over the limit, many bodies of legal size that stop before their end, or heads without end; with many connections open no descriptor was left.

Cause: the server kept whole heads and bodies in the buffers of h2o, which grow to the limit of the library (400 KiB for a head; the limit for a body was 16 MiB, not the one of the configuration) for each connection, counts nothing, accepts every connection, and has no timeout for a client that stops in a body or does not read. It also spoke HTTP/2 on every listener.

Change: an account of the process's connections and memory (common/resource), divided by gateway/allot among callers, backend servers, directory, readiness, metrics, other VMs and the store. Buffers (common/buffer) grow only with room in their share. Each listener has its share and the same rules: heads and bodies within the limits of the configuration, a timeout on the progress of each wait (common/http_wait), stalled clients are closed first when room is short. What is refused gets 400, 408, 413, 431 or 503 with Retry-After before the handler sees it, so that "not run" is true. The server parses with the library that the client already uses; h2o offers no place to refuse or pause a body, to close a connection or to count its buffers, and is no longer needed. New setting memory_mb.

--- a/gateway/app.c
+++ b/gateway/app.c
@@ -14,9 +14,7 @@
 /* Share of the drain time for which a leaving backend server may be used if no
  * other one can serve. It may have sent its notice some time ago. */
 #define APP_LEAVING_USE_PERMILLE 500
-/* Connections to backend servers may use half of the file descriptors, callers
- * use the rest. */
-#define APP_LINK_FILES_DIVISOR 2
+#define APP_BYTES_PER_MB (1024ULL * 1024)
 
 int64_t
 app_now_us(void)
@@ -46,6 +44,14 @@
     return (double)(app_random_bits(ctx) >> 11) / (double)(1ULL << 53);
 }
 
+void
+app_account_server(struct app *app, struct http_server *server,
+                   enum allot_share share)
+{
+    http_server_set_shares(server, &app->allot.shares[share],
+                           &app->allot.shares[ALLOT_BACKENDS]);
+}
+
 bool
 app_is_ready(const struct app *app)
 {
@@ -170,8 +176,10 @@
             settings->drain_ms * APP_LEAVING_USE_PERMILLE, /* ms x permille */
     };
     app->gateway.stop.grace_us = settings->grace_ms * 1000;
+    allot_set_limits(&app->allot, settings->files,
+                     (uint64_t)settings->memory_mb * APP_BYTES_PER_MB);
     app->gateway.backends.link_max =
-        (uint32_t)(settings->files / APP_LINK_FILES_DIVISOR);
+        app->allot.shares[ALLOT_BACKENDS].connection_max;
 }
 
 static int64_t
@@ -205,6 +213,7 @@
     app->settings.store = settings.store;
     settings.store = store;
     app->settings.files = settings.files;
+    app->settings.memory_mb = settings.memory_mb;
     app->settings.extra_permille = settings.extra_permille;
     app->settings.extra_count = settings.extra_count;
     app->settings.warmup_overshoot_permille =
--- a/gateway/front_io.c
+++ b/gateway/front_io.c
@@ -4,11 +4,21 @@
 /* The servers of the platform's interface, where callers' requests are
  * forwarded unchanged. */
 
-#define FRONT_IO_BODY_MAX_BYTES (16 * 1024 * 1024)
+/* The most that the configuration can allow. */
+#define FRONT_IO_BODY_MAX_BYTES (16ULL * 1024 * 1024)
+#define FRONT_IO_HEAD_MAX_BYTES (64ULL * 1024)
 /* How often to check whether callers have disconnected, so that their requests
  * are cancelled. */
 #define FRONT_IO_DISCONNECT_CHECK_MS 100
 
+/* In force where the configuration sets none. */
+static const struct http_server_limits front_io_limits = {
+    .head_max_bytes = FRONT_IO_HEAD_MAX_BYTES,
+    .body_max_bytes = FRONT_IO_BODY_MAX_BYTES,
+    .head_timeout_ms = 10000,
+    .idle_timeout_ms = 60000,
+};
+
 struct front_io {
     struct http_server *requests;
     struct http_server *ready;
@@ -16,6 +26,28 @@
     struct http_server *metrics;
 };
 
+static void
+front_io_on_refused(int rc, void *ctx)
+{
+    struct app *app = ctx;
+    counter_add(app->counters, "gateway_refused", rc_name(rc));
+}
+
+/* As http_server_open(), with a share of the process's account. */
+static int
+front_io_open_one(struct app *app, const char *address, size_t body_max_bytes,
+                  http_server_handler_cb handler, enum allot_share share,
+                  struct http_server **out)
+{
+    int rc = http_server_open(&app->loop, address, body_max_bytes, handler,
+                              app, out);
+    if (rc == RC_OK) {
+        app_account_server(app, *out, share);
+        http_server_set_refused_cb(*out, front_io_on_refused);
+    }
+    return rc;
+}
+
 static int
 front_io_open_metrics(struct app *app, struct front_io *servers)
 {
@@ -25,8 +57,8 @@
     }
     char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, settings->ip,
                                     settings->metrics_port);
-    int rc = http_server_open(&app->loop, address, 0, directory_io_on_metrics,
-                              app, &servers->metrics);
+    int rc = front_io_open_one(app, address, 0, directory_io_on_metrics,
+                               ALLOT_METRICS, &servers->metrics);
     g_free(address);
     return rc;
 }
@@ -37,21 +69,23 @@
     const struct settings *settings = &app->settings;
     struct front_io *servers = g_new0(struct front_io, 1);
     app->front_ctx = servers;
-    int rc = http_server_open(&app->loop, settings->request_listen,
-                              FRONT_IO_BODY_MAX_BYTES, caller_io_on_request,
-                              app, &servers->requests);
+    int rc = front_io_open_one(app, settings->request_listen,
+                               FRONT_IO_BODY_MAX_BYTES, caller_io_on_request,
+                               ALLOT_CALLERS, &servers->requests);
     if (rc != RC_OK) {
         return rc;
     }
     http_server_set_disconnect_check(servers->requests,
                                      FRONT_IO_DISCONNECT_CHECK_MS);
-    rc = http_server_open(&app->loop, settings->ready_listen, 0,
-                          directory_io_on_ready, app, &servers->ready);
+    rc =
+        front_io_open_one(app, settings->ready_listen, 0,
+                          directory_io_on_ready, ALLOT_READY, &servers->ready);
     if (rc != RC_OK) {
         return rc;
     }
-    rc = http_server_open(&app->loop, settings->directory_listen, 0,
-                          directory_io_on_directory, app, &servers->directory);
+    rc = front_io_open_one(app, settings->directory_listen, 0,
+                           directory_io_on_directory, ALLOT_DIRECTORY,
+                           &servers->directory);
     return rc != RC_OK ? rc : front_io_open_metrics(app, servers);
 }
 
@@ -59,11 +93,23 @@
 front_io_on_config(struct app *app, int64_t now_us)
 {
     const struct front_io *servers = app->front_ctx;
-    int64_t idle_us = app->gateway.config->limits.idle_timeout_us;
-    if (idle_us > 0) {
-        http_server_set_idle_timeout(servers->requests,
-                                     (uint64_t)idle_us / 1000);
+    const struct gateway_config_limits *set = &app->gateway.config->limits;
+    struct http_server_limits limits = front_io_limits;
+    if (set->body_max_bytes > 0) {
+        limits.body_max_bytes =
+            MIN(set->body_max_bytes, FRONT_IO_BODY_MAX_BYTES);
+    }
+    if (set->head_max_bytes > 0) {
+        limits.head_max_bytes =
+            MIN(set->head_max_bytes, FRONT_IO_HEAD_MAX_BYTES);
+    }
+    if (set->head_timeout_us > 0) {
+        limits.head_timeout_ms = (uint64_t)set->head_timeout_us / 1000;
+    }
+    if (set->idle_timeout_us > 0) {
+        limits.idle_timeout_ms = (uint64_t)set->idle_timeout_us / 1000;
     }
+    http_server_set_limits(servers->requests, &limits);
 }
 
 static bool
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -264,8 +264,12 @@
         return RC_IO;
     }
     *out = peers;
-    return http_server_open(&app->loop, app->peer_address, 0,
-                            peer_io_on_state_request, app, &peers->server);
+    int rc = http_server_open(&app->loop, app->peer_address, 0,
+                              peer_io_on_state_request, app, &peers->server);
+    if (rc == RC_OK) {
+        app_account_server(app, peers->server, ALLOT_PEERS);
+    }
+    return rc;
 }
 
 void
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "common/net.h"
 #include "common/rc.h"
+#include "gateway/allot.h"
 #include "gateway/settings.h"
 
 enum settings_kind {
@@ -23,8 +24,11 @@
     double scale;
     int64_t min;
     int64_t max;
+    int64_t fallback; /* of a number that may be missing, else 0 */
 };
 
+/* Memory of the smallest VM that is in use. */
+#define SETTINGS_MEMORY_MB 160
 #define SETTINGS_DAY_MS (24LL * 3600 * 1000)
 
 static const struct settings_spec settings_specs[] = {
@@ -33,8 +37,10 @@
     {"vm", "ip", SETTINGS_TEXT, offsetof(struct settings, ip)},
     {"vm", "cores", SETTINGS_NUMBER, offsetof(struct settings, capacity), 1000,
      1, 1000000},
-    {"vm", "files", SETTINGS_NUMBER, offsetof(struct settings, files), 1, 64,
-     10000000},
+    {"vm", "files", SETTINGS_NUMBER, offsetof(struct settings, files), 1,
+     ALLOT_FILES_MIN, 10000000},
+    {"vm", "memory_mb", SETTINGS_NUMBER, offsetof(struct settings, memory_mb),
+     1, ALLOT_MEMORY_MIN_MB, 10000000, SETTINGS_MEMORY_MB},
     {"listen", "requests", SETTINGS_ADDRESS,
      offsetof(struct settings, request_listen)},
     {"listen", "ready", SETTINGS_ADDRESS,
@@ -117,6 +123,11 @@
                   GKeyFile *file, struct settings *out)
 {
     char *text = g_key_file_get_string(file, spec->group, spec->key, NULL);
+    if (text == NULL && spec->fallback != 0) {
+        memcpy((char *)out + spec->offset, &spec->fallback,
+               sizeof(spec->fallback));
+        return true;
+    }
     if (text == NULL) {
         log_error("settings", "key is missing file=%s group=%s key=%s", path,
                   spec->group, spec->key);
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -1,17 +1,24 @@
 #ifndef CH_COMMON_HTTP_SERVER_H
 #define CH_COMMON_HTTP_SERVER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <uv.h>
 
+#include "common/buffer.h"
 #include "common/http_field.h"
 
 /*
- * HTTP server on h2o and a libuv loop. The handler gets each request and
+ * HTTP/1.1 server on a libuv loop. The handler gets each whole request and
  * answers it exactly once, immediately or later. The server owns its
  * connections, and each request until it is answered. Times are in ms on the
  * loop's clock.
+ *
+ * What clients send and do not read is bounded: heads and bodies by the
+ * limits, all of them together by the share of the process's account, and each
+ * wait for a client by a timeout on its progress. What is refused gets 400,
+ * 408, 413, 431 or 503 and was not passed to the handler.
  */
 
 struct http_server;
@@ -23,6 +30,8 @@
     const char *query; /* after '?', "" if there is none */
     const char *body;  /* `body_bytes` bytes, followed by a NUL */
     size_t body_bytes;
+    /* Holds the body; a reference keeps it beyond the request. */
+    struct buffer *body_buffer;
     /* Set by a handler that wants to know when the client closes the
      * connection or its sending side. Called at most once, within the interval
      * of http_server_set_disconnect_check(). The request must still be
@@ -34,6 +43,21 @@
 typedef void (*http_server_handler_cb)(struct http_request *request,
                                        void *ctx);
 
+/* A request was refused with this result code before it reached the handler;
+ * `ctx` is that of the handler. */
+typedef void (*http_server_refused_cb)(int rc, void *ctx);
+
+/* What a client may send and how long it may take. */
+struct http_server_limits {
+    size_t head_max_bytes; /* of target and fields; above: 431 */
+    size_t body_max_bytes; /* above: 413 */
+    /* From the first byte of a request to the end of its head; above: 408. */
+    uint64_t head_timeout_ms;
+    /* Without a request, or without progress in a body or in reading an
+     * answer. */
+    uint64_t idle_timeout_ms;
+};
+
 /*
  * Listens on "IPV4:PORT"; requests with a body above `body_max_bytes` get 413.
  * Returns RC_OK, RC_INVALID for a malformed address, or RC_IO, which is
@@ -81,10 +105,33 @@
                                 size_t field_count, const void *body,
                                 size_t body_bytes);
 
-/* Sets how long a connection may be idle before it is closed (60 s). */
+/* As http_server_respond_fields() with a body that is shared, not copied. */
+void http_server_respond_buffer(struct http_request *request, int status,
+                                const struct http_field *fields,
+                                size_t field_count, struct buffer *body);
+
+/*
+ * Sets the shares of the process's account that the server draws on: `share`
+ * for its connections, their requests and copied answers. While `answer_share`
+ * is short of memory, clients that do not read their answers are closed. Call
+ * before the loop runs; without it nothing is counted.
+ */
+void http_server_set_shares(struct http_server *server,
+                            struct resource_share *share,
+                            struct resource_share *answer_share);
+
+/* Replaces the limits: 64 KiB for heads, 10 s for a head and 60 s of idle time
+ * until others are set. */
+void http_server_set_limits(struct http_server *server,
+                            const struct http_server_limits *limits);
+
 void http_server_set_idle_timeout(struct http_server *server,
                                   uint64_t timeout_ms);
 
+/* Reports refused requests, for counters. */
+void http_server_set_refused_cb(struct http_server *server,
+                                http_server_refused_cb refused);
+
 /*
  * Sets how often the connections of unanswered requests are checked for a
  * client that has closed them (20 ms).
--- a/include/common/rc.h
+++ b/include/common/rc.h
@@ -77,7 +77,8 @@
       "value does not pass the schema check")                                 \
     X(RC_USAGE, -33, "usage", RC_EXECUTED_NO, 400, "wrong flag or argument")  \
     X(RC_AGAIN, -34, "again", RC_EXECUTED_NO, 503, "may be sent again")       \
-    X(RC_NO_MEMORY, -35, "no_memory", RC_EXECUTED_NO, 503, "out of memory")   \
+    X(RC_NO_MEMORY, -35, "no_memory", RC_EXECUTED_NO, 503,                    \
+      "no room in the memory of this VM")                                     \
     X(RC_IO, -36, "io", RC_EXECUTED_UNKNOWN, 500, "system call failed")       \
     X(RC_RUNNING, -37, "running", RC_EXECUTED_UNKNOWN, 409,                   \
       "an order with this id is still running")                               \
@@ -90,7 +91,15 @@
     X(RC_BACKOFF, -42, "backoff", RC_EXECUTED_NO, 503,                        \
       "all backend servers asked to get no requests for a while")             \
     X(RC_REPLY_TOO_LARGE, -43, "reply_too_large", RC_EXECUTED_UNKNOWN, 502,   \
-      "body of a reply is too large")
+      "body of a reply is too large")                                         \
+    X(RC_BAD_REQUEST, -44, "bad_request", RC_EXECUTED_NO, 400,                \
+      "request is not valid HTTP/1.1")                                        \
+    X(RC_HEAD_TOO_LARGE, -45, "head_too_large", RC_EXECUTED_NO, 431,          \
+      "path and headers are too large")                                       \
+    X(RC_REQUEST_TIMEOUT, -46, "request_timeout", RC_EXECUTED_NO, 408,        \
+      "rest of the request did not arrive in time")                           \
+    X(RC_REPLY_NO_ROOM, -47, "reply_no_room", RC_EXECUTED_UNKNOWN, 502,       \
+      "no room for a reply in the memory of this VM")
 
 #define RC_ENUM(symbol, number, name, executed, http, text) symbol = (number),
 enum rc { RC_LIST(RC_ENUM) };
--- /dev/null
+++ b/include/common/resource.h
@@ -0,0 +1,51 @@
+#ifndef CH_COMMON_RESOURCE_H
+#define CH_COMMON_RESOURCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Account of the connections and of the memory that a process holds for its
+ * peers. Each group of peers has a share of its own, so that one group cannot
+ * use up what another one needs. A holder asks before it opens a connection or
+ * lets a buffer grow, and returns what it no longer needs; nothing is taken
+ * away from a holder, which must end its waits by itself.
+ *
+ * A connection includes RESOURCE_CONNECTION_BYTES for its own state and for
+ * buffers of at most RESOURCE_SMALL_BYTES each. Only larger buffers count as
+ * bytes of the share, so that small requests and answers always have room.
+ *
+ * The owner of the account fills in the limits. A NULL share has no limits and
+ * counts nothing; tools and stand-ins use it.
+ */
+
+/* A buffer up to this size is part of its connection. */
+#define RESOURCE_SMALL_BYTES 4096
+/* Memory that a connection is expected to take at most. */
+#define RESOURCE_CONNECTION_BYTES (4 * RESOURCE_SMALL_BYTES)
+
+struct resource_share {
+    uint32_t connection_max;
+    uint64_t bytes_max;
+    uint32_t connection_count;
+    uint64_t bytes;
+    uint64_t refused_connections; /* since the start */
+    uint64_t refused_bytes;       /* calls without success since the start */
+};
+
+/* Takes one connection. Returns whether there was room. */
+bool resource_open(struct resource_share *share);
+
+/* Returns one connection. */
+void resource_close(struct resource_share *share);
+
+/* Takes this many bytes. Returns whether there was room. */
+bool resource_reserve(struct resource_share *share, uint64_t bytes);
+
+void resource_release(struct resource_share *share, uint64_t bytes);
+
+/* Whether three quarters of the bytes are in use, so that peers which make no
+ * progress should be closed. */
+bool resource_is_tight(const struct resource_share *share);
+
+#endif
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -6,6 +6,7 @@
 #include "common/counter.h"
 #include "common/histogram.h"
 #include "common/http_server.h"
+#include "gateway/allot.h"
 #include "gateway/gateway.h"
 #include "gateway/member.h"
 #include "gateway/settings.h"
@@ -52,6 +53,7 @@
     const char *settings_path; /* NULL: settings do not change */
     struct settings settings;
     struct counter_set *counters;
+    struct allot allot; /* descriptors and memory that peers may take */
     struct histogram answer_us; /* time from request to answer */
     struct gateway gateway;
     struct members members;
@@ -89,6 +91,11 @@
  * tick. */
 void app_sync(struct app *app);
 
+/* Makes the server draw on this share, and its clients that do not read
+ * answers leave room for those of backend servers. */
+void app_account_server(struct app *app, struct http_server *server,
+                        enum allot_share share);
+
 /* A random number from 0 to below 1; `ctx` is the struct app. */
 double app_random(void *ctx);
 
--- a/include/gateway/config.h
+++ b/include/gateway/config.h
@@ -55,7 +55,10 @@
     uint32_t coverage_min_permille;
 };
 
+/* Limits on what callers send and how long they take. */
 struct gateway_config_limits {
+    uint64_t head_max_bytes; /* path and headers, 0: not set */
+    int64_t head_timeout_us; /* for the whole head, 0: not set */
     uint64_t body_max_bytes;
     int64_t idle_timeout_us; /* of callers' connections, 0: not set */
 };
--- a/include/gateway/settings.h
+++ b/include/gateway/settings.h
@@ -16,6 +16,7 @@
     char *store;            /* address of the store */
     int64_t capacity;       /* thousandths of a core */
     int64_t files;          /* file descriptors that the process may have */
+    int64_t memory_mb;      /* MiB of memory that the process may use */
     int64_t peer_port;      /* UDP and TCP */
     int64_t metrics_port;   /* 0: none */
     int64_t grace_ms;       /* from SIGTERM to SIGKILL */
--- a/native/options.c
+++ b/native/options.c
@@ -10,6 +10,7 @@
 
 #define SERVER_CAPACITY_PERMILLE 1000
 #define SERVER_FILES 4096
+#define SERVER_MEMORY_MB 256
 /* After SIGTERM callers use a cached address for up to three times its TTL;
  * then the requests in flight complete. */
 #define SERVER_GRACE_MS 10000
@@ -71,6 +72,7 @@
     *settings = (struct settings){
         .capacity = SERVER_CAPACITY_PERMILLE,
         .files = SERVER_FILES,
+        .memory_mb = SERVER_MEMORY_MB,
         .grace_ms = SERVER_GRACE_MS,
         .extra_permille = SERVER_EXTRA_PERMILLE,
         .extra_count = SERVER_EXTRA_COUNT,
@@ -130,7 +132,14 @@
          .target = &settings->files,
          .help = "Limit of open file descriptors (4096)",
          .arg = "N",
-         .min = 64,
+         .min = ALLOT_FILES_MIN,
+         .max = 10000000},
+        {.name = "memory-mb",
+         .kind = OPT_INT,
+         .target = &settings->memory_mb,
+         .help = "Limit of the memory that the process uses, in MiB (256)",
+         .arg = "N",
+         .min = ALLOT_MEMORY_MIN_MB,
          .max = 10000000},
         {.name = "extra-permille",
          .kind = OPT_INT,
--- a/native/server.c
+++ b/native/server.c
@@ -77,6 +77,13 @@
     return (uint32_t)(XXH64(key, strlen(key), 0) % service->instance_count);
 }
 
+static void
+server_on_refused(int rc, void *ctx)
+{
+    const struct server *server = ctx;
+    counter_add(server->app->counters, "refused_total", rc_name(rc));
+}
+
 static int
 server_open(struct app *app)
 {
@@ -93,9 +100,14 @@
     };
     server->orders = order_new(server->ids, app->counters, &callbacks);
     server->forwards = forward_set_new(&app->loop);
-    return http_server_open(&app->loop, app->settings.request_listen,
-                            SERVER_BODY_MAX_BYTES, server_on_request, server,
-                            &server->http);
+    int rc = http_server_open(&app->loop, app->settings.request_listen,
+                              SERVER_BODY_MAX_BYTES, server_on_request, server,
+                              &server->http);
+    if (rc == RC_OK) {
+        app_account_server(app, server->http, ALLOT_CALLERS);
+        http_server_set_refused_cb(server->http, server_on_refused);
+    }
+    return rc;
 }
 
 static void
