gateway: looking up a long path does not hold the loop

What callers saw: beside clients that ask for long paths of slashes nobody got an answer: the process read nothing for seconds.

Cause: the route of a path was looked up at each of its slashes, each time with a copy of the path up to there. One head of 16,000 slashes took 107 ms.

Change: the lookup begins at the length of the longest prefix that a route has.

The new crowd test long-paths fails on (no answer to the ordinary request, to the directory and to the readiness check within 10 s) and passes now.

--- a/gateway/config.c
+++ b/gateway/config.c
@@ -85,8 +85,10 @@
 void
 gateway_config_add_route(struct gateway_config *config, struct route *route)
 {
-    char *key = gateway_config_route_key(route->host, route->prefix,
-                                         strlen(route->prefix));
+    size_t prefix_bytes = strlen(route->prefix);
+    char *key =
+        gateway_config_route_key(route->host, route->prefix, prefix_bytes);
+    config->prefix_max_bytes = MAX(config->prefix_max_bytes, prefix_bytes);
     g_hash_table_replace(config->routes, key, route);
     g_hash_table_add(config->hosts, g_strdup(route->host));
 }
@@ -106,7 +108,7 @@
         return NULL;
     }
     /* Prefixes end with a slash. */
-    size_t end = strcspn(path, "?");
+    size_t end = MIN(strcspn(path, "?"), config->prefix_max_bytes);
     while (end > 0) {
         if (path[end - 1] == '/') {
             char *key = gateway_config_route_key(host, path, end);
--- a/include/gateway/config.h
+++ b/include/gateway/config.h
@@ -66,9 +66,10 @@
 struct gateway_config {
     uint32_t references;
     int64_t version;
-    GHashTable *services; /* name -> struct service */
-    GHashTable *routes;   /* "host\nprefix" -> struct route */
-    GHashTable *hosts;    /* set of names */
+    GHashTable *services;    /* name -> struct service */
+    GHashTable *routes;      /* "host\nprefix" -> struct route */
+    GHashTable *hosts;       /* set of names */
+    size_t prefix_max_bytes; /* length of the longest prefix of a route */
     struct gateway_config_limits limits;
     /* The document that the native interface reads it from, else NULL. */
     struct config *document_config;
--- a/tests/crowd/cases.c
+++ b/tests/crowd/cases.c
@@ -156,6 +156,15 @@
         .memory_mb = CASE_MEMORY_MB,
         .files = CASE_FILES,
     },
+    {
+        .name = "long-paths",
+        .clients = {{.count = 350,
+                     .port = CROWD_REQUEST_PORT,
+                     .slashes = 16000,
+                     .reads = true}},
+        .memory_mb = CASE_MEMORY_MB,
+        .files = CASE_FILES,
+    },
     {
         .name = "long-store",
         .memory_mb = CASE_MEMORY_MB,
--- a/tests/crowd/client.c
+++ b/tests/crowd/client.c
@@ -140,7 +140,12 @@
 client_write_head(struct client *client, uint32_t index)
 {
     const struct crowd_clients *clients = client->group->clients;
-    client->head = g_string_new(clients->head);
+    client->head = g_string_new(clients->head != NULL ? clients->head : "");
+    if (clients->slashes > 0) {
+        char *path = g_strnfill(clients->slashes, '/');
+        g_string_printf(client->head, "GET %s HTTP/1.1\r\n", path);
+        g_free(path);
+    }
     g_string_append_printf(client->head,
                            "Host: crowd\r\nX-Request-Id: crowd%u\r\n"
                            "X-Request-Deadline-Ms: 60000\r\n",
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -49,6 +49,7 @@
     uint32_t count;
     uint16_t port;
     const char *head; /* up to the blank line, which is not part of it */
+    uint32_t slashes; /* in a path that no route has; `head` is not sent */
     uint64_t head_filler_bytes; /* header lines without end after `head` */
     uint64_t announced_bytes;   /* Content-Length; 0: none */
     uint64_t body_bytes;        /* sent after the head */
