gateway: links to one service leave room for the others

What callers saw: 503 (too_late) for a request to a healthy service while searchers of other services took requests and did not read or answer them.

Cause: all links share one limit. Requests that wait for searchers of one route used all of it, and the part of another service waited for a link until its deadline.

Change: a quarter of the links is kept for services that have few, an equal part for each and at least one link; a service with fewer than that may use any free link.

--- a/gateway/backend_link.c
+++ b/gateway/backend_link.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gateway/backend.h"
 
 /* The connections (links) to backend servers: opened, used, kept and closed.
@@ -7,6 +9,8 @@
  * maximum. */
 #define BACKEND_CONNECT_PAUSE_MIN_US (20 * 1000)
 #define BACKEND_CONNECT_PAUSE_MAX_US (320 * 1000)
+/* This part of all links is kept for services that have few. */
+#define BACKEND_RESERVED_DIVISOR 4
 
 void
 backend_close_idle_links(struct backend_set *set, struct backend *backend)
@@ -45,6 +49,52 @@
     }
 }
 
+/* Returns how many links these backend servers have. */
+static uint32_t
+backend_count_links(const GPtrArray *backends)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < backends->len; i++) {
+        const struct backend *backend = g_ptr_array_index(backends, i);
+        count += backend->links->len;
+    }
+    return count;
+}
+
+/* Returns how many links are kept for other services: each may have `each`. */
+static uint64_t
+backend_links_kept(const struct backend_set *set, const char *service,
+                   uint32_t each)
+{
+    GHashTableIter iter;
+    gpointer name = NULL;
+    gpointer backends = NULL;
+    uint64_t kept = 0;
+    g_hash_table_iter_init(&iter, set->by_service);
+    while (g_hash_table_iter_next(&iter, &name, &backends)) {
+        uint32_t count = backend_count_links(backends);
+        if (count < each && strcmp(name, service) != 0) {
+            kept += each - count;
+        }
+    }
+    return kept;
+}
+
+bool
+backend_has_link_room(const struct backend_set *set, const char *service)
+{
+    uint32_t services = MAX(g_hash_table_size(set->by_service), 1);
+    uint32_t each =
+        MAX(set->link_max / BACKEND_RESERVED_DIVISOR / services, 1);
+    if (set->link_count + (uint64_t)each * services < set->link_max) {
+        return true;
+    }
+    const GPtrArray *replicas = backend_replicas(set, service);
+    bool has_few = replicas == NULL || backend_count_links(replicas) < each;
+    uint64_t kept = has_few ? 0 : backend_links_kept(set, service, each);
+    return set->link_count + kept < set->link_max;
+}
+
 struct backend_link *
 backend_idle_link(const struct backend *backend, int64_t now_us)
 {
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -119,7 +119,8 @@
         }
     }
     return backend_idle_link(backend, now_us) != NULL ||
-           (backend->links->len < share && set->link_count < set->link_max &&
+           (backend->links->len < share &&
+            backend_has_link_room(set, backend->service) &&
             backend_may_connect(backend, now_us));
 }
 
--- a/include/gateway/backend.h
+++ b/include/gateway/backend.h
@@ -173,6 +173,13 @@
 struct backend_link *backend_idle_link(const struct backend *backend,
                                        int64_t now_us);
 
+/*
+ * Whether the service may open one more link. A quarter of the links is kept
+ * for services that have few, an equal part for each and at least one link:
+ * backend servers that do not answer leave room for those of other services.
+ */
+bool backend_has_link_room(const struct backend_set *set, const char *service);
+
 /* Opens a link for an attempt. */
 struct backend_link *backend_open_link(struct backend_set *set,
                                        struct backend *backend, void *attempt,
