member: names in datagrams cannot fill the table of VMs

What an operator would see: the memory of a process grows with each name that comes in a heartbeat, whoever sent it.

Cause: a VM was added for every unknown name of a datagram and of a relayed list.

Change: at most 8,192 VMs are known (the design is for 2,200); further names are ignored with a log line.

--- a/gateway/member.c
+++ b/gateway/member.c
@@ -52,10 +52,15 @@
     return strcmp(name, members->self->name) == 0;
 }
 
+/* Returns NULL if the VM is unknown and MEMBER_VMS_MAX are known. */
 static struct member_vm *
 member_find_or_add(struct members *members, const char *name)
 {
     struct member_vm *vm = g_hash_table_lookup(members->vms, name);
+    if (vm == NULL && g_hash_table_size(members->vms) >= MEMBER_VMS_MAX) {
+        log_sample("member", "too many VMs, not added vm=%s", name);
+        return NULL;
+    }
     if (vm == NULL) {
         vm = g_new0(struct member_vm, 1);
         vm->name = g_strdup(name);
@@ -146,6 +151,9 @@
         return;
     }
     struct member_vm *vm = member_find_or_add(members, name);
+    if (vm == NULL) {
+        return;
+    }
     vm->is_listed = true;
     if (vm->revision != revision) {
         vm->revision = revision;
@@ -206,6 +214,9 @@
         return;
     }
     struct member_vm *vm = member_find_or_add(members, heartbeat->name);
+    if (vm == NULL) {
+        return;
+    }
     if (!member_is_live(members, vm, now_us) ||
         vm->start != heartbeat->start) {
         log_info("member",
@@ -268,6 +279,9 @@
         return;
     }
     struct member_vm *vm = member_find_or_add(members, name);
+    if (vm == NULL) {
+        return;
+    }
     vm->relayed_us = now_us;
     member_set_string(&vm->request_address, request_address);
 }
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -8,6 +8,7 @@
 
 #include "common/rc.h"
 #include "gateway/admit.h"
+#include "gateway/allot.h"
 #include "gateway/finish.h"
 #include "gateway/member.h"
 #include "gateway/peer_state.h"
@@ -334,6 +335,71 @@
                         script_number(argc, argv, 1) * MS);
 }
 
+/* > flood COUNT: heartbeats of this many VMs; prints how many are known. */
+static void
+run_flood(void *ctx, int argc, char **argv, GString *out)
+{
+    struct module_test *test = ctx;
+    int64_t own[OBJECT_KIND_COUNT] = {0};
+    for (int64_t i = 0; i < script_number(argc, argv, 1); i++) {
+        char *name = g_strdup_printf("flood%" PRId64, i);
+        struct member_heartbeat heartbeat = {
+            .name = name,
+            .dc = "d1",
+            .request_address = name,
+            .peer_address = name,
+        };
+        member_on_heartbeat(&test->members, &heartbeat, own, MS);
+        g_free(name);
+    }
+    g_string_append_printf(out, "%u", g_hash_table_size(test->members.vms));
+}
+
+/* > allot FILES MEMORY_MB: the shares, and whether they fit into the whole. */
+static void
+run_allot(void *ctx, int argc, char **argv, GString *out)
+{
+    struct allot allot = {.shares = {{.bytes = 0}}};
+    int64_t files = script_number(argc, argv, 1);
+    uint64_t memory = (uint64_t)script_number(argc, argv, 2) * 1024 * 1024;
+    uint64_t connections = 0;
+    uint64_t bytes = 0;
+    allot_set_limits(&allot, files, memory);
+    for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
+        const struct resource_share *share = &allot.shares[i];
+        connections += share->connection_max;
+        bytes += share->bytes_max;
+        g_string_append_printf(out, "%s %u %" PRIu64 "\n", allot_name(i),
+                               share->connection_max, share->bytes_max / 1024);
+    }
+    bytes += connections * RESOURCE_CONNECTION_BYTES;
+    g_string_append_printf(out, "fits=%d",
+                           connections < (uint64_t)files && bytes < memory);
+}
+
+/* > allot-sums: whether the shares fit for all sizes of a VM. */
+static void
+run_allot_sums(void *ctx, int argc, char **argv, GString *out)
+{
+    uint32_t misfits = 0;
+    for (int64_t files = ALLOT_FILES_MIN; files < 100000; files += 97) {
+        for (uint64_t mb = ALLOT_MEMORY_MIN_MB; mb < 4000; mb += 61) {
+            struct allot allot = {.shares = {{.bytes = 0}}};
+            uint64_t connections = 0;
+            uint64_t bytes = 0;
+            allot_set_limits(&allot, files, mb * 1024 * 1024);
+            for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
+                connections += allot.shares[i].connection_max;
+                bytes += allot.shares[i].bytes_max;
+            }
+            bytes += connections * RESOURCE_CONNECTION_BYTES;
+            misfits += connections >= (uint64_t)files ||
+                       bytes > mb * 1024 * 1024 * 3 / 4;
+        }
+    }
+    g_string_append_printf(out, "misfits=%u", misfits);
+}
+
 /* > members NOW */
 static void
 run_members(void *ctx, int argc, char **argv, GString *out)
@@ -706,6 +772,9 @@
     {"records", run_records},
     {"members-list", run_members_list},
     {"heartbeat", run_heartbeat},
+    {"flood", run_flood},
+    {"allot", run_allot},
+    {"allot-sums", run_allot_sums},
     {"members", run_members},
     {"tick", run_tick},
     {"reply", run_reply},
