gateway: heads of requests in progress count in the account

What callers saw: nothing yet; found by the search for uncounted bytes.

Cause: path, query and headers of a request were copied three times, outside the account, for as long as the request is in progress: up to some 60 KiB for each connection.

Change: target and path are buffers of the connection's share, the decoded headers take their room from the share of the callers; without room the request gets 503.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -22,9 +22,8 @@
     struct http_server *server;
     GList link;                    /* in server->unanswered */
     struct http_server_conn *conn; /* NULL once it was closed */
-    char *target;
-    char *path;
-    char *query;
+    struct buffer *target;         /* as sent, with a NUL */
+    struct buffer *split;          /* path and query, each with a NUL */
     char *host;
 };
 
@@ -38,9 +37,8 @@
 http_exchange_free(struct http_exchange *exchange)
 {
     buffer_unref(exchange->request.body_buffer);
-    g_free(exchange->target);
-    g_free(exchange->path);
-    g_free(exchange->query);
+    buffer_unref(exchange->target);
+    buffer_unref(exchange->split);
     g_free(exchange->host);
     g_free(exchange);
 }
@@ -103,12 +101,27 @@
     return count;
 }
 
+/* Replaces the target by the text and a NUL. Returns RC_OK or RC_NO_MEMORY. */
+static int
+http_exchange_set_target(struct http_exchange *exchange, const char *text,
+                         size_t bytes)
+{
+    struct buffer *target = buffer_new(exchange->server->share);
+    int rc = buffer_append(target, text, bytes);
+    if (rc == RC_OK) {
+        rc = buffer_append(target, "", 1);
+    }
+    buffer_unref(exchange->target);
+    exchange->target = target;
+    return rc;
+}
+
 /* Takes host and path from a target that is a whole URL. */
 static int
 http_exchange_split_url(struct http_exchange *exchange)
 {
     struct http_parser_url url;
-    const char *text = exchange->target;
+    const char *text = (const char *)exchange->target->data;
     http_parser_url_init(&url);
     if (http_parser_parse_url(text, strlen(text), 0, &url) != 0 ||
         (url.field_set & (1 << UF_HOST)) == 0) {
@@ -118,9 +131,33 @@
     size_t host_bytes = strcspn(host, "/?#");
     const char *rest = host + host_bytes;
     exchange->host = g_strndup(host, host_bytes);
-    char *target = g_strconcat(*rest == '/' ? "" : "/", rest, (char *)NULL);
-    g_free(exchange->target);
-    exchange->target = target;
+    if (*rest != '/') {
+        /* An empty path is "/". */
+        char *path = g_strconcat("/", rest, (char *)NULL);
+        int rc = http_exchange_set_target(exchange, path, strlen(path));
+        g_free(path);
+        return rc;
+    }
+    return http_exchange_set_target(exchange, rest, strlen(rest));
+}
+
+/* Copies the target and puts a NUL in the place of its '?'. */
+static int
+http_exchange_split_path(struct http_exchange *exchange)
+{
+    const struct buffer *target = exchange->target;
+    exchange->split = buffer_new(exchange->server->share);
+    int rc = buffer_append(exchange->split, target->data, target->bytes);
+    if (rc != RC_OK) {
+        return rc;
+    }
+    char *path = (char *)exchange->split->data;
+    size_t path_bytes = strcspn(path, "?");
+    bool has_query = path[path_bytes] == '?';
+    path[path_bytes] = '\0';
+    exchange->request.target = (const char *)target->data;
+    exchange->request.path = path;
+    exchange->request.query = has_query ? path + path_bytes + 1 : "";
     return RC_OK;
 }
 
@@ -128,28 +165,20 @@
 http_exchange_read_target(struct http_exchange *exchange)
 {
     const struct http_server_conn *conn = exchange->conn;
-    exchange->target =
-        g_strndup((const char *)conn->target->data, conn->target->bytes);
-    bool is_path = exchange->target[0] == '/' || exchange->target[0] == '*' ||
-                   conn->parser.method == HTTP_CONNECT;
-    if (!is_path) {
-        int rc = http_exchange_split_url(exchange);
-        if (rc != RC_OK) {
-            return rc;
-        }
+    const char *text = (const char *)conn->target->data;
+    int rc = http_exchange_set_target(exchange, text, conn->target->bytes);
+    bool is_url = rc == RC_OK && text[0] != '/' && text[0] != '*' &&
+                  conn->parser.method != HTTP_CONNECT;
+    if (is_url) {
+        rc = http_exchange_split_url(exchange);
     }
-    if (exchange->host == NULL) {
+    if (rc == RC_OK && exchange->host == NULL) {
         struct http_field host = http_exchange_field(conn, "host");
         exchange->host = host.value != NULL
                              ? g_strndup(host.value, host.value_bytes)
                              : g_strdup("");
     }
-    size_t path_bytes = strcspn(exchange->target, "?");
-    exchange->path = g_strndup(exchange->target, path_bytes);
-    exchange->query = g_strdup(exchange->target[path_bytes] == '?'
-                                   ? exchange->target + path_bytes + 1
-                                   : "");
-    return RC_OK;
+    return rc == RC_OK ? http_exchange_split_path(exchange) : rc;
 }
 
 /* Moves the body from the connection; a NUL follows it. */
@@ -196,9 +225,6 @@
     }
     struct http_request *request = &exchange->request;
     request->method = http_method_str((enum http_method)conn->parser.method);
-    request->target = exchange->target;
-    request->path = exchange->path;
-    request->query = exchange->query;
     request->body = (const char *)request->body_buffer->data;
     request->body_bytes = request->body_buffer->bytes;
     conn->exchange = exchange;
--- a/gateway/caller_io.c
+++ b/gateway/caller_io.c
@@ -11,6 +11,7 @@
     struct wire_request request;
     struct request *pending; /* set while the answer is outstanding */
     int64_t started_us;
+    uint64_t reserved_bytes; /* for the decoded head */
 };
 
 static void
@@ -20,6 +21,7 @@
     struct app *app = cio->app;
     histogram_add(&app->answer_us, app_now_us() - cio->started_us);
     app->wire->respond(cio->http, cio->request.id, answer);
+    resource_release(&app->allot.shares[ALLOT_CALLERS], cio->reserved_bytes);
     wire_request_clear(&cio->request);
     g_free(cio);
 }
@@ -34,6 +36,22 @@
     caller_io_on_answer(&answer, cio);
 }
 
+/* Takes room for the decoded head. Returns RC_OK or RC_NO_MEMORY. */
+static int
+caller_io_reserve(struct caller_io *cio)
+{
+    struct resource_share *share = &cio->app->allot.shares[ALLOT_CALLERS];
+    uint64_t bytes = cio->request.fields->allocated_len;
+    if (bytes <= RESOURCE_SMALL_BYTES) {
+        return RC_OK;
+    }
+    if (!resource_reserve(share, bytes)) {
+        return RC_NO_MEMORY;
+    }
+    cio->reserved_bytes = bytes;
+    return RC_OK;
+}
+
 void
 caller_io_on_request(struct http_request *http, void *ctx)
 {
@@ -44,8 +62,14 @@
     cio->http = http;
     cio->started_us = now_us;
     int rc = app->wire->read_request(http, &cio->request);
+    if (rc == RC_OK) {
+        rc = caller_io_reserve(cio);
+    }
     if (rc != RC_OK) {
-        struct caller_answer answer = {.rc = rc};
+        struct caller_answer answer = {
+            .rc = rc,
+            .retry_after_us = GATEWAY_NO_ROOM_RETRY_US,
+        };
         caller_io_on_answer(&answer, cio);
         return;
     }
