gateway: requests to one service leave room for those to others

What callers saw: connections to the process were closed at once while requests of other callers waited for searchers that do not answer.

Cause: each request in progress holds its connection, and nothing limited how many may be in progress at a time or for one service; a connection that waits for this process is never closed to make room. The memory of requests with many parts was not counted.

Change: requests may be in progress on three quarters of the callers' connections. A quarter of that room is kept for services that have few requests in progress, as for the links (resource_group). Above it a request is refused at once with 503 (limit), not run. The memory of a request in progress is taken from the share of the callers.

--- a/common/resource.c
+++ b/common/resource.c
@@ -59,6 +59,19 @@
     }
 }
 
+uint64_t
+resource_group_least(uint64_t max, uint64_t groups)
+{
+    return MAX(max / RESOURCE_QUARTERS / MAX(groups, 1), 1);
+}
+
+bool
+resource_group_has_room(const struct resource_group *group)
+{
+    uint64_t kept = group->own < group->least ? 0 : group->kept;
+    return resource_has_room(group->used + kept, 1, group->max);
+}
+
 bool
 resource_is_tight(const struct resource_share *share)
 {
--- a/gateway/admit.c
+++ b/gateway/admit.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/invariant.h"
+#include "common/resource.h"
 #include "gateway/admit.h"
 
 #define ADMIT_MILLI UINT64_C(1000)
@@ -93,6 +94,33 @@
     return pool;
 }
 
+bool
+admit_leaves_room(const struct admit *admit, const struct admit_pool *pool,
+                  uint32_t running, uint32_t running_max)
+{
+    /* One more for a service that has not had a request yet. */
+    guint pools = g_hash_table_size(admit->pools) + 1;
+    uint64_t least = resource_group_least(running_max, pools);
+    struct resource_group group = {
+        .used = running,
+        .max = running_max,
+        .own = pool->in_time.running + pool->late.running,
+        .least = least,
+        .kept = least,
+    };
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, admit->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct admit_pool *other = value;
+        uint64_t count = other->in_time.running + other->late.running;
+        if (other != pool && count < group.least) {
+            group.kept += group.least - count;
+        }
+    }
+    return resource_group_has_room(&group);
+}
+
 static gboolean
 admit_is_unused(gpointer service, gpointer data, gpointer services)
 {
--- a/gateway/allot.c
+++ b/gateway/allot.c
@@ -18,6 +18,10 @@
 #define ALLOT_STORE_CONNECTIONS_MIN 10
 #define ALLOT_CONNECTIONS_MIN 2
 
+/* Part of the callers' connections on which no request may be in progress, so
+ * that a caller can connect and learn that there is no room. */
+#define ALLOT_SPARE_DIVISOR 4
+
 static const struct {
     const char *name;
     uint32_t connection_permille;
@@ -66,6 +70,13 @@
     }
 }
 
+uint32_t
+allot_request_max(const struct allot *allot)
+{
+    uint32_t connections = allot->shares[ALLOT_CALLERS].connection_max;
+    return connections - connections / ALLOT_SPARE_DIVISOR;
+}
+
 const char *
 allot_name(enum allot_share share)
 {
--- a/gateway/app.c
+++ b/gateway/app.c
@@ -180,6 +180,7 @@
                      (uint64_t)settings->memory_mb * APP_BYTES_PER_MB);
     app->gateway.backends.link_max =
         app->allot.shares[ALLOT_BACKENDS].connection_max;
+    app->gateway.request_max = allot_request_max(&app->allot);
 }
 
 static int64_t
@@ -468,6 +469,7 @@
     gateway_init(&app->gateway, app->settings.dc, &app_gateway_callbacks, app,
                  app->counters);
     app_apply_bounds(app);
+    app->gateway.request_share = &app->allot.shares[ALLOT_CALLERS];
     app->gateway.answer_share = &app->allot.shares[ALLOT_BACKENDS];
     member_init(&app->members, app->settings.vm,
                 (uint32_t)app->settings.capacity);
--- a/gateway/backend_link.c
+++ b/gateway/backend_link.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/resource.h"
 #include "gateway/backend.h"
 
 /* The connections (links) to backend servers: opened, used, kept and closed.
@@ -9,8 +10,6 @@
  * maximum. */
 #define BACKEND_CONNECT_PAUSE_MIN_US (20 * 1000)
 #define BACKEND_CONNECT_PAUSE_MAX_US (320 * 1000)
-/* This part of all links is kept for services that have few. */
-#define BACKEND_RESERVED_DIVISOR 4
 
 void
 backend_close_idle_links(struct backend_set *set, struct backend *backend)
@@ -61,10 +60,11 @@
     return count;
 }
 
-/* Returns how many links are kept for other services: each may have `each`. */
+/* Returns how many links are kept for other services, each of which may have
+ * `least`. */
 static uint64_t
 backend_links_kept(const struct backend_set *set, const char *service,
-                   uint32_t each)
+                   uint64_t least)
 {
     GHashTableIter iter;
     gpointer name = NULL;
@@ -73,8 +73,8 @@
     g_hash_table_iter_init(&iter, set->by_service);
     while (g_hash_table_iter_next(&iter, &name, &backends)) {
         uint32_t count = backend_count_links(backends);
-        if (count < each && strcmp(name, service) != 0) {
-            kept += each - count;
+        if (count < least && strcmp(name, service) != 0) {
+            kept += least - count;
         }
     }
     return kept;
@@ -83,16 +83,20 @@
 bool
 backend_has_link_room(const struct backend_set *set, const char *service)
 {
-    uint32_t services = MAX(g_hash_table_size(set->by_service), 1);
-    uint32_t each =
-        MAX(set->link_max / BACKEND_RESERVED_DIVISOR / services, 1);
-    if (set->link_count + (uint64_t)each * services < set->link_max) {
+    guint services = g_hash_table_size(set->by_service);
+    uint64_t least = resource_group_least(set->link_max, services);
+    if (set->link_count + least * services < set->link_max) {
         return true;
     }
     const GPtrArray *replicas = backend_replicas(set, service);
-    bool has_few = replicas == NULL || backend_count_links(replicas) < each;
-    uint64_t kept = has_few ? 0 : backend_links_kept(set, service, each);
-    return set->link_count + kept < set->link_max;
+    struct resource_group group = {
+        .used = set->link_count,
+        .max = set->link_max,
+        .own = replicas != NULL ? backend_count_links(replicas) : 0,
+        .least = least,
+        .kept = backend_links_kept(set, service, least),
+    };
+    return resource_group_has_room(&group);
 }
 
 struct backend_link *
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -44,6 +44,7 @@
         .counters = counters,
         .dc = g_strdup(dc),
         .vms = MEMBER_ASSUMED_COUNT,
+        .request_max = UINT32_MAX,
         .drained_dcs =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .routes =
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -35,6 +35,7 @@
     }
     g_free(request->parts);
     buffer_unref(request->records);
+    resource_release(request->gateway->request_share, request->reserved_bytes);
     gateway_config_unref(request->config);
     g_free(request);
 }
--- a/gateway/request_start.c
+++ b/gateway/request_start.c
@@ -90,6 +90,30 @@
         .service;
 }
 
+/* Returns the memory of a request in progress that counts in its share. */
+static uint64_t
+request_bytes(const struct arrival *arrival)
+{
+    uint64_t bytes =
+        sizeof(struct request) + arrival->target_count * sizeof(struct part);
+    return bytes > RESOURCE_SMALL_BYTES ? bytes : 0;
+}
+
+/* Takes the room for a request. Returns RC_OK, RC_LIMIT if too many requests
+ * are in progress, or RC_NO_MEMORY. */
+static int
+gateway_take_room(struct gateway *gateway, const struct arrival *arrival)
+{
+    const struct admit_pool *pool = gateway_admit_pool(gateway, arrival);
+    if (!admit_leaves_room(&gateway->admit, pool, gateway->requests.length,
+                           gateway->request_max)) {
+        return RC_LIMIT;
+    }
+    return resource_reserve(gateway->request_share, request_bytes(arrival))
+               ? RC_OK
+               : RC_NO_MEMORY;
+}
+
 static struct request *
 request_new(struct gateway *gateway, const struct arrival *arrival,
             bool is_late, int64_t now_us)
@@ -106,6 +130,7 @@
     request->deadline_us = arrival->deadline_us;
     request->due_us = request->deadline_us;
     request->part_count = arrival->target_count;
+    request->reserved_bytes = request_bytes(arrival);
     request->parts = g_new0(struct part, request->part_count);
     for (uint32_t i = 0; i < request->part_count; i++) {
         struct part *part = &request->parts[i];
@@ -367,6 +392,11 @@
                                             now_us));
         return NULL;
     }
+    int rc = gateway_take_room(gateway, &arrival);
+    if (rc != RC_OK) {
+        gateway_refuse(gateway, params, rc, GATEWAY_NO_ROOM_RETRY_US);
+        return NULL;
+    }
     return gateway_start_request(gateway, &arrival,
                                  decision == ADMIT_ACCEPT_LATE, now_us);
 }
--- a/include/common/resource.h
+++ b/include/common/resource.h
@@ -44,6 +44,22 @@
 
 void resource_release(struct resource_share *share, uint64_t bytes);
 
+/* One of several groups that draw on the same room. */
+struct resource_group {
+    uint64_t used; /* by all groups */
+    uint64_t max;
+    uint64_t own;   /* used by this group */
+    uint64_t least; /* each group may use this much, whatever others use */
+    uint64_t kept;  /* what the other groups have not used of it */
+};
+
+/* Returns what each of the groups may always use: a quarter of all in equal
+ * parts, but at least one. */
+uint64_t resource_group_least(uint64_t max, uint64_t groups);
+
+/* Whether this group may use one more. */
+bool resource_group_has_room(const struct resource_group *group);
+
 /* Whether three quarters of the bytes are in use, so that peers which make no
  * progress should be closed. */
 bool resource_is_tight(const struct resource_share *share);
--- a/include/gateway/admit.h
+++ b/include/gateway/admit.h
@@ -76,6 +76,15 @@
 
 void admit_clear(struct admit *admit);
 
+/*
+ * Whether one more request of the pool may be in progress while `running` of
+ * at most `running_max` are. Some room is kept for each other pool, so that
+ * backend servers that do not answer leave room for those of other services.
+ */
+bool admit_leaves_room(const struct admit *admit,
+                       const struct admit_pool *pool, uint32_t running,
+                       uint32_t running_max);
+
 /* Returns the pool of the service's backend servers; creates it if needed. */
 struct admit_pool *admit_get_pool(struct admit *admit, const char *service);
 
--- a/include/gateway/allot.h
+++ b/include/gateway/allot.h
@@ -37,6 +37,9 @@
 void allot_set_limits(struct allot *allot, int64_t files,
                       uint64_t memory_bytes);
 
+/* Returns how many callers' requests may be in progress at a time. */
+uint32_t allot_request_max(const struct allot *allot);
+
 /* Name of a share in metrics. */
 const char *allot_name(enum allot_share share);
 
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -162,8 +162,10 @@
     int64_t last_dispatch_us; /* when all queued parts were last tried */
     struct admit admit;
     struct stop stop;
-    struct resource_share
-        *answer_share; /* of merged answers, NULL: no limit */
+    /* Shares of the process's account, NULL: no limit. */
+    struct resource_share *request_share; /* requests in progress */
+    struct resource_share *answer_share;  /* merged answers */
+    uint32_t request_max;                 /* requests in progress */
     uint64_t request_serial;
     bool is_config_stale; /* unknown routes may exist: callers should retry */
     int64_t backends_as_of_us; /* time up to which `backends` is current, for
@@ -173,6 +175,8 @@
 /* Retry delay for callers while there is no configuration or only a stale one:
  * an outage of the store lasts for seconds, and callers retry rarely. */
 #define GATEWAY_NO_CONFIG_RETRY_US (1000 * 1000)
+/* Retry delay for callers whose request has no room. */
+#define GATEWAY_NO_ROOM_RETRY_US (1000 * 1000)
 /* Retry delay for callers while no backend server can be used: entries are
  * written again within two seconds after an outage. */
 #define GATEWAY_NO_BACKEND_RETRY_US (500 * 1000)
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -54,6 +54,7 @@
     uint32_t send_count;
     uint32_t hedge_count;
     uint32_t retry_count;
+    uint64_t reserved_bytes; /* of the gateway's request share */
     struct buffer *records; /* merged answer of a gathering route, else NULL */
     int64_t due_us;         /* when request_tick() is due */
     GList link;             /* in gateway->requests */
--- a/tests/crowd/cases.c
+++ b/tests/crowd/cases.c
@@ -165,6 +165,16 @@
         .memory_mb = CASE_MEMORY_MB,
         .files = CASE_FILES,
     },
+    {
+        .name = "waiting-heads",
+        .clients = {{.count = 700,
+                     .port = CROWD_REQUEST_PORT,
+                     .head = "GET /unread/crowd HTTP/1.1\r\n",
+                     .field_bytes = 15 * 1024,
+                     .reads = true}},
+        .memory_mb = 32,
+        .files = 1000,
+    },
     {
         .name = "long-store",
         .memory_mb = CASE_MEMORY_MB,
--- a/tests/crowd/client.c
+++ b/tests/crowd/client.c
@@ -150,6 +150,11 @@
                            "Host: crowd\r\nX-Request-Id: crowd%u\r\n"
                            "X-Request-Deadline-Ms: 60000\r\n",
                            index);
+    if (clients->field_bytes > 0) {
+        char *value = g_strnfill(clients->field_bytes, 'a');
+        g_string_append_printf(client->head, "X-Filler: %s\r\n", value);
+        g_free(value);
+    }
     if (clients->head_filler_bytes > 0) {
         client->left_bytes = clients->head_filler_bytes;
         return;
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -51,6 +51,7 @@
     const char *head; /* up to the blank line, which is not part of it */
     uint32_t slashes; /* in a path that no route has; `head` is not sent */
     uint64_t head_filler_bytes; /* header lines without end after `head` */
+    uint32_t field_bytes;       /* of one more header */
     uint64_t announced_bytes;   /* Content-Length; 0: none */
     uint64_t body_bytes;        /* sent after the head */
     bool is_chunked;
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -279,6 +279,14 @@
     test->gateway.backends.link_max = (uint32_t)script_number(argc, argv, 1);
 }
 
+/* > request-max MAX: limits the requests in progress. */
+static void
+run_request_max(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->gateway.request_max = (uint32_t)script_number(argc, argv, 1);
+}
+
 /* > config-stale 0|1 */
 static void
 run_config_stale(void *ctx, int argc, char **argv, GString *out)
@@ -670,6 +678,7 @@
     {"latency", run_latency},
     {"state-counts", run_state_counts},
     {"link-max", run_link_max},
+    {"request-max", run_request_max},
     {"limits", run_limits},
     {"avoid", run_avoid},
 };
