--- a/gateway/directory_io.c
+++ b/gateway/directory_io.c
@@ -88,12 +88,39 @@
         app->sync.aborted_watches;
 }
 
+/* Copies what is in use of each share, and its limits, to the counters. */
+static void
+directory_io_update_share_counters(struct app *app)
+{
+    struct counter_set *counters = app->counters;
+    for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
+        const struct resource_share *share = &app->allot.shares[i];
+        const char *name = allot_name(i);
+        *counter_get(counters, "gateway_share_connections", name) =
+            share->connection_count;
+        *counter_get(counters, "gateway_share_connections_max", name) =
+            share->connection_max;
+        *counter_get(counters, "gateway_share_bytes", name) = share->bytes;
+        *counter_get(counters, "gateway_share_bytes_max", name) =
+            share->bytes_max;
+        *counter_get(counters, "gateway_share_connections_refused", name) =
+            share->refused_connections;
+        *counter_get(counters, "gateway_share_bytes_refused", name) =
+            share->refused_bytes;
+    }
+    *counter_get(counters, "gateway_requests_open", NULL) =
+        app->gateway.requests.length;
+    *counter_get(counters, "gateway_requests_open_max", NULL) =
+        app->gateway.request_max;
+}
+
 void
 directory_io_on_metrics(struct http_request *http, void *ctx)
 {
     struct app *app = ctx;
     GString *out = g_string_new(NULL);
     directory_io_update_sync_counters(app);
+    directory_io_update_share_counters(app);
     counter_render(app->counters, out);
     directory_io_render_latency(&app->answer_us, out);
     http_server_respond(http, 200, "text/plain; version=0.0.4", out->str,
--- a/include/standin/http_conn.h
+++ b/include/standin/http_conn.h
@@ -8,8 +8,8 @@
 
 /*
  * HTTP/1.1 server that detects a closed connection also while a request is
- * pending: the gateway cancels a request by closing its connection, and h2o
- * (common/http_server.h) doesn't read from a connection during a request. The
+ * pending: the gateway cancels a request by closing its connection, and
+ * common/http_server.h looks at it at intervals only. The
  * server owns its connections; a connection carries one request at a time.
  */
 
--- a/include/standin/reply.h
+++ b/include/standin/reply.h
@@ -5,7 +5,7 @@
 
 #include "common/http_server.h"
 
-/* Responses of the stand-in store (h2o server, common/http_server.h). */
+/* Responses of the stand-in store (common/http_server.h). */
 
 /* Responds with a JSON text. */
 void reply_text(struct http_request *request, int status, const char *text);
