--- a/tests/crowd/client.c
+++ b/tests/crowd/client.c
@@ -10,6 +10,7 @@
 #define CLIENT_PIECE_BYTES 65536
 /* Receive buffer of a client that does not read. */
 #define CLIENT_RECEIVE_BYTES 4096
+#define CLIENT_TRICKLE_MS 50
 
 struct crowd_group {
     struct crowd *crowd;
@@ -20,6 +21,8 @@
 struct client {
     struct crowd_group *group;
     uv_tcp_t tcp;
+    uv_timer_t trickle_timer;
+    size_t trickled_bytes; /* of `head` */
     uv_connect_t connect;
     uv_write_t write;
     GString *head;
@@ -35,6 +38,9 @@
 client_on_closed(uv_handle_t *handle)
 {
     struct client *client = handle->data;
+    if (client->group->clients->trickles) {
+        return; /* The timer still refers to it. */
+    }
     g_string_free(client->head, TRUE);
     g_free(client);
 }
@@ -71,6 +77,29 @@
 
 static void client_send(struct client *client);
 
+/* Sends the next byte of the head, which is never complete. */
+static void
+client_on_trickle(uv_timer_t *timer)
+{
+    struct client *client = timer->data;
+    uv_buf_t buf = uv_buf_init(client->head->str + client->trickled_bytes, 1);
+    if (client->trickled_bytes + 1 < client->head->len &&
+        !uv_is_closing((uv_handle_t *)&client->tcp) &&
+        uv_try_write((uv_stream_t *)&client->tcp, &buf, 1) == 1) {
+        client->trickled_bytes += 1;
+    }
+}
+
+static void
+client_trickle(struct client *client)
+{
+    uv_timer_init(client->tcp.loop, &client->trickle_timer);
+    client->trickle_timer.data = client;
+    uv_timer_start(&client->trickle_timer, client_on_trickle,
+                   CLIENT_TRICKLE_MS, CLIENT_TRICKLE_MS);
+    client_finish(client);
+}
+
 static void
 client_on_write(uv_write_t *req, int status)
 {
@@ -133,7 +162,12 @@
         uv_read_start((uv_stream_t *)&client->tcp, client_on_alloc,
                       client_on_read);
     }
-    client_send(client);
+    if (client->group->clients->trickles) {
+        client_trickle(client);
+    }
+    else {
+        client_send(client);
+    }
 }
 
 static void
@@ -169,6 +203,11 @@
                                clients->announced_bytes);
     }
     g_string_append(client->head, "\r\n");
+    char *once = g_strdup(client->head->str);
+    for (uint32_t i = 0; i < clients->repeats; i++) {
+        g_string_append(client->head, once);
+    }
+    g_free(once);
 }
 
 static void
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -55,7 +55,9 @@
     uint64_t announced_bytes;   /* Content-Length; 0: none */
     uint64_t body_bytes;        /* sent after the head */
     bool is_chunked;
-    bool reads; /* reads what comes, else nothing */
+    bool reads;       /* reads what comes, else nothing */
+    bool trickles;    /* sends the head and the body byte by byte */
+    uint32_t repeats; /* the head is sent this many times more, at once */
 };
 
 struct crowd_case {
