http_client: interim responses without end are a bad reply

What callers saw: nothing yet; found by the search for peers that never end. A searcher that sends interim responses without end kept the loop busy until the deadline.

Change: after 32 interim responses the reply is malformed (bad_reply).

Measured: test_many_interims fails without the change (33 are accepted).

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -10,6 +10,8 @@
 #include "common/rc.h"
 
 #define HTTP_CLIENT_READ_BYTES 65536
+/* Interim responses before the final one. */
+#define HTTP_CLIENT_INTERIM_MAX 32
 
 struct http_client_conn {
     uv_tcp_t tcp;
@@ -29,6 +31,7 @@
     void *response_ctx;
     struct buffer *body;
     struct http_field_list fields;
+    uint32_t interim_count; /* of the request in flight */
     bool is_head;
     bool is_connected;
     bool is_closing;
@@ -122,7 +125,10 @@
     struct http_client_conn *conn = parser->data;
     if (http_client_is_interim(parser)) {
         http_client_reset_response(conn);
-        return 0;
+        conn->interim_count += 1;
+        return conn->interim_count <= HTTP_CLIENT_INTERIM_MAX
+                   ? 0
+                   : http_client_stop(conn, RC_BAD_REPLY);
     }
     conn->is_complete = true;
     http_parser_pause(parser, 1);
@@ -444,6 +450,7 @@
     conn->parser.data = conn;
     conn->is_head = is_head;
     conn->refusal = RC_OK;
+    conn->interim_count = 0;
     conn->is_complete = false;
     http_client_reset_response(conn);
 
--- a/tests/gateway/test_reset.c
+++ b/tests/gateway/test_reset.c
@@ -167,6 +167,23 @@
     }
 }
 
+/* Guards against a backend server that sends interim responses without end. */
+static void
+test_many_interims(void **state)
+{
+    for (int count = 32; count <= 33; count++) {
+        GString *text = g_string_new(NULL);
+        for (int i = 0; i < count; i++) {
+            g_string_append(text, "HTTP/1.1 103 Early Hints\r\n\r\n");
+        }
+        g_string_append(text, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        struct reset_test test = {.text = text->str, .text_bytes = text->len};
+        run(&test);
+        assert_int_equal(test.rc, count == 32 ? RC_OK : RC_BAD_REPLY);
+        g_string_free(text, TRUE);
+    }
+}
+
 /* The peer closes after each proper prefix of a response. One that ends with
  * its connection is whole as soon as its head is. */
 static void
@@ -300,8 +317,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_closed),  cmocka_unit_test(test_reset),
-        cmocka_unit_test(test_interim), cmocka_unit_test(test_cut),
-        cmocka_unit_test(test_long),    cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_interim), cmocka_unit_test(test_many_interims),
+        cmocka_unit_test(test_cut),     cmocka_unit_test(test_long),
+        cmocka_unit_test(test_refused),
     };
     return cmocka_run_group_tests_name("gateway-reset", tests, NULL, NULL);
 }
