resource: what a connection can take in small buffers is counted in full

What callers saw: nothing; found when the account was checked against its worst case.

Cause: a connection counts as 16 KiB, but has up to nine buffers that are not counted below 4 KiB each, 36 KiB together. With all connections of a VM full that is some 37 MiB more than the account says.

Change: buffers count from 2 KiB on, and a connection as nine of them. Large blocks are returned to the system when they are freed (a fixed mmap threshold). The check for clients that have left looks at each connection once in a round, also when many leave.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -25,6 +25,7 @@
     struct buffer *target;         /* as sent, with a NUL */
     struct buffer *split;          /* path and query, each with a NUL */
     char *host;
+    uint64_t checked_round; /* of http_exchange_is_disconnected() */
 };
 
 static struct http_exchange *
@@ -63,14 +64,16 @@
 }
 
 bool
-http_exchange_is_disconnected(const struct http_exchange *exchange)
+http_exchange_is_disconnected(struct http_exchange *exchange, uint64_t round)
 {
     uv_os_fd_t fd = -1;
     char byte = 0;
     if (exchange->request.on_disconnect == NULL || exchange->conn == NULL ||
+        exchange->checked_round == round ||
         uv_fileno((const uv_handle_t *)&exchange->conn->tcp, &fd) != 0) {
         return false;
     }
+    exchange->checked_round = round;
     ssize_t count = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -21,7 +21,8 @@
 {
     for (GList *item = server->unanswered.head; item != NULL;
          item = item->next) {
-        if (http_exchange_is_disconnected(item->data)) {
+        if (http_exchange_is_disconnected(item->data,
+                                          server->disconnect_round)) {
             return item->data;
         }
     }
@@ -32,12 +33,13 @@
  * Checks the connections of unanswered requests. Nothing is read from a
  * connection while its request is handled, so that the loop does not notice
  * that the client closed it. The search starts again after each callback,
- * which may change the queue.
+ * which may change the queue; each connection is looked at once.
  */
 static void
 http_server_on_disconnect_check(uv_timer_t *timer)
 {
     struct http_server *server = timer->data;
+    server->disconnect_round += 1;
     struct http_exchange *exchange = http_server_find_disconnected(server);
     while (exchange != NULL) {
         http_exchange_notify_disconnect(exchange);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 
 #include "common/log.h"
@@ -9,6 +10,8 @@
 #include "native/native.h"
 #include "platform/platform.h"
 
+#define MAIN_LARGE_BLOCK_BYTES (128 * 1024)
+
 /* Serves the platform's interface if there is a settings file, else the native
  * interface with the settings of options and environment variables. */
 static int
@@ -20,6 +23,14 @@
                : app_run(settings, NULL, &native_wire, &server_front);
 }
 
+/* Large buffers go back to the system when they are freed. Without a fixed
+ * threshold glibc raises it to their size and keeps them. */
+static void
+main_return_large_blocks(void)
+{
+    (void)mallopt(M_MMAP_THRESHOLD, MAIN_LARGE_BLOCK_BYTES);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -30,6 +41,7 @@
         return 2;
     }
     (void)signal(SIGPIPE, SIG_IGN);
+    main_return_large_blocks();
     int rc = log_open("gateway", "starting", "info");
     if (rc == RC_OK) {
         log_to_stdout();
--- a/include/common/http_server_conn.h
+++ b/include/common/http_server_conn.h
@@ -30,6 +30,7 @@
     http_server_refused_cb refused;
     void *ctx;
     uint64_t disconnect_check_ms;
+    uint64_t disconnect_round; /* checks so far */
     bool is_draining;
     bool is_stopping;
 };
@@ -92,8 +93,10 @@
 /* Calls the request's on_disconnect callback, at most once. */
 void http_exchange_notify_disconnect(struct http_exchange *exchange);
 
-/* Whether the client of an unanswered request has closed its connection. */
-bool http_exchange_is_disconnected(const struct http_exchange *exchange);
+/* Whether the client of an unanswered request has closed its connection; false
+ * if that was looked at in this round already. */
+bool http_exchange_is_disconnected(struct http_exchange *exchange,
+                                   uint64_t round);
 
 /* Answers a request that was not passed to the handler and closes the
  * connection. */
--- a/include/common/resource.h
+++ b/include/common/resource.h
@@ -20,9 +20,11 @@
  */
 
 /* A buffer up to this size is part of its connection. */
-#define RESOURCE_SMALL_BYTES 4096
-/* Memory that a connection is expected to take at most. */
-#define RESOURCE_CONNECTION_BYTES (4 * RESOURCE_SMALL_BYTES)
+#define RESOURCE_SMALL_BYTES 2048
+/* Memory of a connection with its small buffers: target, fields and their
+ * offsets, what follows the request, target and path as the handler sees them,
+ * body, decoded headers, and the request in progress. */
+#define RESOURCE_CONNECTION_BYTES (9 * RESOURCE_SMALL_BYTES)
 
 struct resource_share {
     uint32_t connection_max;
