request_id: ids and outcomes of orders take their memory from the account

What callers saw: nothing yet; found by the search for uncounted bytes. On the product's own interface the outcome of each order is kept for ten minutes. New ids were refused from 64 MiB on, but each of the 262,144 ids that were issued before could still store a result of any length.

Change: ids and results have a share of their own (a process of the users' platform keeps none and gives it no room). Without room no id is issued; a result that finds none goes to those who wait for it, and those who ask later get outcome_unknown, which is true. An order still runs at most once.

--- a/gateway/allot.c
+++ b/gateway/allot.c
@@ -13,6 +13,8 @@
 /* Share of that memory for connections with their small buffers. */
 #define ALLOT_CONNECTIONS_PERMILLE 400
 #define ALLOT_PERMILLE 1000
+/* Part of the memory beside connections for orders, if there are any. */
+#define ALLOT_ORDERS_PERMILLE 400
 /* Connections to the store: one for each kind of objects, for the registration
  * and for the roster; to other VMs: one for each kind of objects. */
 #define ALLOT_STORE_CONNECTIONS_MIN 10
@@ -34,6 +36,7 @@
     [ALLOT_METRICS] = {"metrics", 20, 15},
     [ALLOT_PEERS] = {"peers", 30, 100},
     [ALLOT_STORE] = {"store", 40, 150},
+    [ALLOT_ORDERS] = {"orders", 0, 0},
 };
 
 /* Returns how many connections all shares may have together. */
@@ -47,27 +50,53 @@
     return MIN((uint64_t)(files - own), by_memory);
 }
 
+/* Returns the connections of a share that it has in any case. */
+static uint64_t
+allot_least_connections(enum allot_share share)
+{
+    switch (share) {
+    case ALLOT_ORDERS:
+        return 0;
+    case ALLOT_STORE:
+        return ALLOT_STORE_CONNECTIONS_MIN;
+    default:
+        return ALLOT_CONNECTIONS_MIN;
+    }
+}
+
+/* Divides the connections: each share has its least ones and a part of the
+ * rest. */
+static void
+allot_divide_connections(struct allot *allot, uint64_t connections)
+{
+    uint64_t rest = connections;
+    for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
+        rest -= MIN(rest, allot_least_connections(i));
+    }
+    for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
+        allot->shares[i].connection_max =
+            (uint32_t)(allot_least_connections(i) +
+                       rest * allot_table[i].connection_permille /
+                           ALLOT_PERMILLE);
+    }
+}
+
 void
-allot_set_limits(struct allot *allot, int64_t files, uint64_t memory_bytes)
+allot_set_limits(struct allot *allot, int64_t files, uint64_t memory_bytes,
+                 bool has_orders)
 {
     uint64_t peer_bytes = memory_bytes / ALLOT_PERMILLE * ALLOT_PEERS_PERMILLE;
     uint64_t connections = allot_connections(files, peer_bytes);
-    /* What the minimums take is not divided a second time. */
-    uint64_t fixed = ALLOT_STORE_CONNECTIONS_MIN +
-                     (ALLOT_SHARE_COUNT - 1) * ALLOT_CONNECTIONS_MIN;
-    uint64_t divided = connections > fixed ? connections - fixed : 0;
-    uint64_t large_bytes =
+    uint64_t bytes =
         peer_bytes - MIN(peer_bytes, connections * RESOURCE_CONNECTION_BYTES);
+    uint64_t order_bytes =
+        has_orders ? bytes / ALLOT_PERMILLE * ALLOT_ORDERS_PERMILLE : 0;
+    allot_divide_connections(allot, connections);
     for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
-        struct resource_share *share = &allot->shares[i];
-        uint64_t least = i == ALLOT_STORE ? ALLOT_STORE_CONNECTIONS_MIN
-                                          : ALLOT_CONNECTIONS_MIN;
-        share->connection_max =
-            (uint32_t)(least + divided * allot_table[i].connection_permille /
-                                   ALLOT_PERMILLE);
-        share->bytes_max =
-            large_bytes / ALLOT_PERMILLE * allot_table[i].bytes_permille;
+        allot->shares[i].bytes_max = (bytes - order_bytes) / ALLOT_PERMILLE *
+                                     allot_table[i].bytes_permille;
     }
+    allot->shares[ALLOT_ORDERS].bytes_max = order_bytes;
 }
 
 uint32_t
--- a/gateway/app.c
+++ b/gateway/app.c
@@ -177,7 +177,8 @@
     };
     app->gateway.stop.grace_us = settings->grace_ms * 1000;
     allot_set_limits(&app->allot, settings->files,
-                     (uint64_t)settings->memory_mb * APP_BYTES_PER_MB);
+                     (uint64_t)settings->memory_mb * APP_BYTES_PER_MB,
+                     app->front->has_orders);
     app->gateway.backends.link_max =
         app->allot.shares[ALLOT_BACKENDS].connection_max;
     app->gateway.request_max = allot_request_max(&app->allot);
--- a/include/gateway/allot.h
+++ b/include/gateway/allot.h
@@ -21,6 +21,7 @@
     ALLOT_METRICS,   /* metrics */
     ALLOT_PEERS,     /* and the other VMs */
     ALLOT_STORE,     /* connections to the store and to other VMs */
+    ALLOT_ORDERS,    /* ids and outcomes of orders, no connections */
     ALLOT_SHARE_COUNT,
 };
 
@@ -32,10 +33,13 @@
 #define ALLOT_FILES_MIN 64
 #define ALLOT_MEMORY_MIN_MB 32
 
-/* Sets the limits of all shares for a process that may have `files`
- * descriptors and `memory_bytes` of memory. What is in use stays in use. */
+/*
+ * Sets the limits of all shares for a process that may have `files`
+ * descriptors and `memory_bytes` of memory; only one that `has_orders` keeps
+ * their outcomes. What is in use stays in use.
+ */
 void allot_set_limits(struct allot *allot, int64_t files,
-                      uint64_t memory_bytes);
+                      uint64_t memory_bytes, bool has_orders);
 
 /* Returns how many callers' requests may be in progress at a time. */
 uint32_t allot_request_max(const struct allot *allot);
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -25,6 +25,7 @@
 /* The servers for callers and operators; one table for each interface that a
  * process can offer. */
 struct app_front {
+    bool has_orders; /* the process keeps outcomes of orders */
     /* Listens. Returns RC_OK or RC_IO. */
     int (*open)(struct app *app);
     /* A new configuration is in force; may be NULL. */
--- a/include/native/request_id.h
+++ b/include/native/request_id.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "common/counter.h"
+#include "common/resource.h"
 
 /*
  * Issues the request ids of orders and stores the outcome of each order. An
@@ -28,8 +29,8 @@
 #define REQUEST_ID_VM_MAX_BYTES 64
 /* Limit of ids of one process that have not expired. */
 #define REQUEST_ID_MAX_IDS (256 * 1024)
-/* While outcome bodies take up this many bytes no new id is issued. */
-#define REQUEST_ID_STORED_MAX_BYTES (64ULL * 1024 * 1024)
+/* Memory of an id without its outcome, for the account of the process. */
+#define REQUEST_ID_ENTRY_BYTES 192
 
 struct request_ids;
 
@@ -74,8 +75,13 @@
 bool request_id_is_own(const struct request_ids *ids,
                        const struct request_id *id);
 
+/* Ids and outcomes take their memory from the share; without a share it is not
+ * counted. */
+void request_id_set_share(struct request_ids *ids,
+                          struct resource_share *share);
+
 /* Issues an id (free with g_free). Returns RC_OK, or RC_QUEUE_FULL while the
- * table holds `max_ids` ids or REQUEST_ID_STORED_MAX_BYTES of outcomes. */
+ * table holds `max_ids` ids or the share has no room. */
 int request_id_issue(struct request_ids *ids, int64_t now_us, char **out);
 
 /*
@@ -88,10 +94,14 @@
 /* Starts a run; the state must be REQUEST_ID_NEW or REQUEST_ID_NOT_RUN. */
 void request_id_start_run(struct request_ids *ids, uint64_t seq);
 
-/* Ends the run in progress. `rc` is RC_OK with the result in `body`, or the
- * reason of the failure; rc_executed(rc) decides the new state. */
-void request_id_end_run(struct request_ids *ids, uint64_t seq, int rc,
-                        const void *body, size_t body_bytes);
+/*
+ * Ends the run in progress. `rc` is RC_OK with the result in `body`, or the
+ * reason of the failure; rc_executed(rc) decides the new state. Returns RC_OK,
+ * or RC_REPLY_NO_ROOM if the share has no room for the result: then the
+ * outcome is unknown to those who ask later.
+ */
+int request_id_end_run(struct request_ids *ids, uint64_t seq, int rc,
+                       const void *body, size_t body_bytes);
 
 /* Whether this process can tell that the order of the id was not executed and
  * that no run is in progress. False for ids of other processes. */
--- a/native/order.c
+++ b/native/order.c
@@ -139,12 +139,21 @@
 {
     struct order_run *run = g_hash_table_lookup(orders->runs, &seq);
     CH_INVARIANT(run != NULL);
-    request_id_end_run(orders->ids, seq, rc, body, body_bytes);
+    int stored_rc = request_id_end_run(orders->ids, seq, rc, body, body_bytes);
     struct request_id_outcome outcome = {.rc = RC_OUTCOME_UNKNOWN};
     /* If the id expired during the run, its outcome is reported as unknown. */
     if (request_id_lookup(orders->ids, seq, now_us, &outcome) != RC_OK) {
         outcome = (struct request_id_outcome){.rc = RC_OUTCOME_UNKNOWN};
     }
+    if (stored_rc == RC_REPLY_NO_ROOM && rc == RC_OK) {
+        /* Those who wait get the result although it cannot be kept. */
+        outcome = (struct request_id_outcome){
+            .state = REQUEST_ID_DONE,
+            .rc = RC_OK,
+            .body = body,
+            .body_bytes = body_bytes,
+        };
+    }
     counter_add(orders->counters, "order_outcome_total", rc_name(outcome.rc));
     for (guint i = 0; i < run->waiters->len; i++) {
         const struct order_waiter *waiter = g_ptr_array_index(run->waiters, i);
--- a/native/request_id.c
+++ b/native/request_id.c
@@ -24,10 +24,10 @@
     uint64_t start;
     size_t max_ids;
     struct counter_set *counters;
-    GHashTable *by_seq;  /* seq -> struct request_id_entry */
-    uint64_t oldest_seq; /* smallest that may be in `by_seq` */
+    struct resource_share *share; /* NULL: not counted */
+    GHashTable *by_seq;           /* seq -> struct request_id_entry */
+    uint64_t oldest_seq;          /* smallest that may be in `by_seq` */
     uint64_t last_issued_seq;
-    uint64_t stored_bytes; /* of all outcome bodies */
 };
 
 static void
@@ -108,6 +108,12 @@
     return ids;
 }
 
+void
+request_id_set_share(struct request_ids *ids, struct resource_share *share)
+{
+    ids->share = share;
+}
+
 void
 request_id_free(struct request_ids *ids)
 {
@@ -130,7 +136,7 @@
 {
     request_id_expire(ids, now_us);
     if (g_hash_table_size(ids->by_seq) >= ids->max_ids ||
-        ids->stored_bytes >= REQUEST_ID_STORED_MAX_BYTES) {
+        !resource_reserve(ids->share, REQUEST_ID_ENTRY_BYTES)) {
         counter_add(ids->counters, "id_refused_total", rc_name(RC_QUEUE_FULL));
         return RC_QUEUE_FULL;
     }
@@ -182,7 +188,7 @@
     entry->rc = RC_OK;
 }
 
-void
+int
 request_id_end_run(struct request_ids *ids, uint64_t seq, int rc,
                    const void *body, size_t body_bytes)
 {
@@ -193,13 +199,19 @@
     };
     struct request_id_entry *entry = request_id_entry_get(ids, seq);
     CH_INVARIANT(entry->state == REQUEST_ID_RUNNING);
+    bool has_body = rc == RC_OK && body_bytes > 0;
+    if (has_body && !resource_reserve(ids->share, body_bytes)) {
+        counter_add(ids->counters, "outcome_dropped_total", NULL);
+        rc = RC_REPLY_NO_ROOM;
+        has_body = false;
+    }
     entry->state = states[rc_executed(rc)];
     entry->rc = entry->state == REQUEST_ID_UNKNOWN ? RC_OUTCOME_UNKNOWN : rc;
-    if (rc == RC_OK && body_bytes > 0) {
+    if (has_body) {
         entry->body = g_memdup2(body, body_bytes);
         entry->body_bytes = body_bytes;
-        ids->stored_bytes += body_bytes;
     }
+    return rc == RC_REPLY_NO_ROOM ? rc : RC_OK;
 }
 
 bool
@@ -228,7 +240,8 @@
         if (now_us < entry->expires_us || entry->state == REQUEST_ID_RUNNING) {
             return;
         }
-        ids->stored_bytes -= entry->body_bytes;
+        resource_release(ids->share,
+                         REQUEST_ID_ENTRY_BYTES + entry->body_bytes);
         g_hash_table_remove(ids->by_seq, &ids->oldest_seq);
         ids->oldest_seq += 1;
     }
--- a/native/server.c
+++ b/native/server.c
@@ -93,6 +93,7 @@
     server->quota = quota_new(app->counters);
     server->ids = request_id_new(app->settings.vm, app->start,
                                  REQUEST_ID_MAX_IDS, app->counters);
+    request_id_set_share(server->ids, &app->allot.shares[ALLOT_ORDERS]);
     const struct order_callbacks callbacks = {
         .run = orders_run,
         .on_outcome = orders_on_outcome,
@@ -161,6 +162,7 @@
 }
 
 const struct app_front server_front = {
+    .has_orders = true,
     .open = server_open,
     .on_config = server_on_config,
     .tick = server_tick,
--- a/tests/gateway/test_modules.c
+++ b/tests/gateway/test_modules.c
@@ -355,7 +355,8 @@
     g_string_append_printf(out, "%u", g_hash_table_size(test->members.vms));
 }
 
-/* > allot FILES MEMORY_MB: the shares, and whether they fit into the whole. */
+/* > allot FILES MEMORY_MB [orders]: the shares, and whether they fit into the
+ * whole. */
 static void
 run_allot(void *ctx, int argc, char **argv, GString *out)
 {
@@ -364,7 +365,7 @@
     uint64_t memory = (uint64_t)script_number(argc, argv, 2) * 1024 * 1024;
     uint64_t connections = 0;
     uint64_t bytes = 0;
-    allot_set_limits(&allot, files, memory);
+    allot_set_limits(&allot, files, memory, argc > 3);
     for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
         const struct resource_share *share = &allot.shares[i];
         connections += share->connection_max;
@@ -387,7 +388,7 @@
             struct allot allot = {.shares = {{.bytes = 0}}};
             uint64_t connections = 0;
             uint64_t bytes = 0;
-            allot_set_limits(&allot, files, mb * 1024 * 1024);
+            allot_set_limits(&allot, files, mb * 1024 * 1024, mb % 2 == 0);
             for (int i = 0; i < ALLOT_SHARE_COUNT; i++) {
                 connections += allot.shares[i].connection_max;
                 bytes += allot.shares[i].bytes_max;
--- a/tests/native/test_native.c
+++ b/tests/native/test_native.c
@@ -25,6 +25,7 @@
  */
 
 struct native_test {
+    struct resource_share share; /* of ids and outcomes */
     struct counter_set *counters;
     struct request_ids *ids;
     struct orders *orders;
@@ -126,6 +127,16 @@
                     rc_from_name(argv[2]), body, strlen(body), test->now_us);
 }
 
+/* > room BYTES: that ids and outcomes may still take; prints those in use. */
+static void
+run_room(void *ctx, int argc, char **argv, GString *out)
+{
+    struct native_test *test = ctx;
+    test->share.bytes_max =
+        test->share.bytes + (uint64_t)script_number(argc, argv, 1);
+    g_string_append_printf(out, "used=%" G_GUINT64_FORMAT, test->share.bytes);
+}
+
 /* > not-run SEQ: whether a refusal may say "not run" for this id of VM m1, and
  * how many ids are stored */
 static void
@@ -493,6 +504,7 @@
     {"own-id", run_own_id},
     {"order", run_order},
     {"result", run_result},
+    {"room", run_room},
     {"not-run", run_not_run},
     {"wait", run_wait},
     {"accounts", run_accounts},
@@ -518,6 +530,8 @@
     test->now_us = 1000000;
     test->counters = counter_set_new();
     test->ids = request_id_new("m1", 0xabcdef, 4, test->counters);
+    test->share.bytes_max = UINT64_MAX;
+    request_id_set_share(test->ids, &test->share);
     const struct order_callbacks callbacks = {
         .run = on_run, .on_outcome = on_outcome, .ctx = test};
     test->orders = order_new(test->ids, test->counters, &callbacks);
