http_client: reading a response is a module of its own

http_client.c had grown to 560 lines and did two things: it drives a connection and reads a response. The second part is http_reply now, without a change of behaviour.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -1,20 +1,15 @@
 #include <glib.h>
-#include <http_parser.h>
 #include <inttypes.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "common/http_client.h"
+#include "common/http_reply.h"
 #include "common/log.h"
 #include "common/net.h"
 #include "common/rc.h"
 
 #define HTTP_CLIENT_READ_BYTES 65536
-/* Statuses of final responses. */
-#define HTTP_CLIENT_STATUS_MIN 200
-#define HTTP_CLIENT_STATUS_MAX 599
-/* Interim responses before the final one. */
-#define HTTP_CLIENT_INTERIM_MAX 32
 
 struct http_client_conn {
     uv_tcp_t tcp;
@@ -22,9 +17,8 @@
     uv_shutdown_t shutdown_req;
     uv_timer_t failed_timer; /* reports a connect() that failed at once */
     uint32_t handle_count;   /* open handles: `tcp`, and `failed_timer` */
-    http_parser parser;
+    struct http_reply reply; /* to the request in flight */
     char *host;
-    size_t body_max_bytes;
     struct resource_share *share;
     bool has_room; /* a connection of the share is taken */
     http_client_connected_cb connected;
@@ -32,15 +26,9 @@
     void *ctx;
     http_client_response_cb response;
     void *response_ctx;
-    struct buffer *body;
-    struct http_field_list fields;
-    uint32_t interim_count; /* of the request in flight */
-    bool is_head;
     bool is_connected;
     bool is_closing;
     bool is_shut_down;
-    bool is_complete;
-    int refusal; /* why the response cannot be held, or RC_OK */
 };
 
 /* Shared by all connections: each read is parsed before the next one starts.
@@ -55,120 +43,6 @@
     uint64_t reserved_bytes; /* for `head` */
 };
 
-/* Stops the parser: the response cannot be held. */
-static int
-http_client_stop(struct http_client_conn *conn, int rc)
-{
-    conn->refusal = rc;
-    return -1; /* 1 would mean "no body" at the end of a head */
-}
-
-static int
-http_client_on_body(http_parser *parser, const char *at, size_t length)
-{
-    struct http_client_conn *conn = parser->data;
-    if (conn->body->bytes + length > conn->body_max_bytes) {
-        return http_client_stop(conn, RC_REPLY_TOO_LARGE);
-    }
-    return buffer_append(conn->body, at, length) == RC_OK
-               ? 0
-               : http_client_stop(conn, RC_REPLY_NO_ROOM);
-}
-
-static int
-http_client_on_header_field(http_parser *parser, const char *at, size_t length)
-{
-    struct http_client_conn *conn = parser->data;
-    return http_field_list_add_name(&conn->fields, at, length) == RC_OK
-               ? 0
-               : http_client_stop(conn, RC_REPLY_NO_ROOM);
-}
-
-static int
-http_client_on_header_value(http_parser *parser, const char *at, size_t length)
-{
-    struct http_client_conn *conn = parser->data;
-    return http_field_list_add_value(&conn->fields, at, length) == RC_OK
-               ? 0
-               : http_client_stop(conn, RC_REPLY_NO_ROOM);
-}
-
-/* Whether the response is an interim one, which another one follows. 101 would
- * end the protocol; no request asks for that. */
-static bool
-http_client_is_interim(const http_parser *parser)
-{
-    return parser->status_code >= 100 && parser->status_code < 200 &&
-           parser->status_code != 101;
-}
-
-/* Whether a final response may have the status. */
-static bool
-http_client_is_final(const http_parser *parser)
-{
-    return parser->status_code >= HTTP_CLIENT_STATUS_MIN &&
-           parser->status_code <= HTTP_CLIENT_STATUS_MAX;
-}
-
-static int
-http_client_on_headers_complete(http_parser *parser)
-{
-    struct http_client_conn *conn = parser->data;
-    if (!http_client_is_interim(parser) && !http_client_is_final(parser)) {
-        return http_client_stop(conn, RC_BAD_REPLY);
-    }
-    bool has_no_body = conn->is_head || http_client_is_interim(parser);
-    bool has_length = !has_no_body && (parser->flags & F_CONTENTLENGTH) != 0;
-    if (has_length && parser->content_length > conn->body_max_bytes) {
-        return http_client_stop(conn, RC_REPLY_TOO_LARGE);
-    }
-    return has_no_body ? 1 : 0;
-}
-
-/* Forgets what was read of a response. */
-static void
-http_client_reset_response(struct http_client_conn *conn)
-{
-    buffer_clear(conn->body);
-    http_field_list_reset(&conn->fields);
-}
-
-static int
-http_client_on_message_complete(http_parser *parser)
-{
-    struct http_client_conn *conn = parser->data;
-    if (http_client_is_interim(parser)) {
-        http_client_reset_response(conn);
-        conn->interim_count += 1;
-        return conn->interim_count <= HTTP_CLIENT_INTERIM_MAX
-                   ? 0
-                   : http_client_stop(conn, RC_BAD_REPLY);
-    }
-    conn->is_complete = true;
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
-static const http_parser_settings http_client_settings = {
-    .on_header_field = http_client_on_header_field,
-    .on_header_value = http_client_on_header_value,
-    .on_headers_complete = http_client_on_headers_complete,
-    .on_body = http_client_on_body,
-    .on_message_complete = http_client_on_message_complete,
-};
-
-/* Headers of the response, which refer to the list; free with g_free. */
-static struct http_field *
-http_client_fields(const struct http_field_list *list)
-{
-    size_t count = http_field_list_count(list);
-    struct http_field *fields = g_new0(struct http_field, count);
-    for (size_t i = 0; i < count; i++) {
-        fields[i] = http_field_list_get(list, i);
-    }
-    return fields;
-}
-
 const struct http_field *
 http_client_field(const struct http_response *response, const char *name)
 {
@@ -189,27 +63,24 @@
         return;
     }
     conn->response = NULL;
-    /* The callback may start the next request, which reuses the buffers. */
-    struct buffer *body = conn->body;
-    struct http_field_list list = conn->fields;
-    struct http_field *fields = http_client_fields(&list);
-    conn->body = buffer_new(conn->share);
-    http_field_list_init(&conn->fields, conn->share);
+    /* The callback may start the next request, which reuses the reply. */
+    struct http_reply reply = conn->reply;
+    http_reply_init(&conn->reply, reply.body_max_bytes, conn->share);
+    struct http_field *fields = http_reply_fields(&reply);
     struct http_response result = {
         .rc = rc,
-        .status = rc == RC_OK ? (int)conn->parser.status_code : 0,
-        .body = body->bytes > 0 ? (const char *)body->data : "",
-        .body_bytes = body->bytes,
-        .body_buffer = body,
+        .status = rc == RC_OK ? (int)reply.parser.status_code : 0,
+        .body = reply.body->bytes > 0 ? (const char *)reply.body->data : "",
+        .body_bytes = reply.body->bytes,
+        .body_buffer = reply.body,
         .fields = fields,
-        .field_count = http_field_list_count(&list),
+        .field_count = http_field_list_count(&reply.fields),
         .is_keepalive = rc == RC_OK && is_clean &&
-                        http_should_keep_alive(&conn->parser) != 0,
+                        http_should_keep_alive(&reply.parser) != 0,
     };
     response(conn, &result, conn->response_ctx);
-    buffer_unref(body);
-    http_field_list_clear(&list);
     g_free(fields);
+    http_reply_clear(&reply);
 }
 
 static void
@@ -235,20 +106,13 @@
 http_client_parse(struct http_client_conn *conn, const char *data,
                   size_t data_bytes)
 {
-    size_t used = http_parser_execute(&conn->parser, &http_client_settings,
-                                      data, data_bytes);
-    enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
-    if (conn->is_complete) {
-        /* Bytes after the response belong to no request. The response is
-         * valid, but the connection must not be reused. */
-        bool is_clean = used == data_bytes || data_bytes == 0;
-        conn->is_complete = false;
+    bool is_clean = false;
+    int rc = http_reply_parse(&conn->reply, data, data_bytes, &is_clean);
+    if (rc == RC_OK) {
         http_client_finish(conn, RC_OK, is_clean);
-        return;
     }
-    if (error != HPE_OK) {
-        http_client_fail(conn, conn->refusal != RC_OK ? conn->refusal
-                                                      : RC_BAD_REPLY);
+    else if (rc != RC_AGAIN) {
+        http_client_fail(conn, rc);
     }
 }
 
@@ -339,8 +203,7 @@
     if (conn->handle_count > 0) {
         return;
     }
-    buffer_unref(conn->body);
-    http_field_list_clear(&conn->fields);
+    http_reply_clear(&conn->reply);
     g_free(conn->host);
     g_free(conn);
 }
@@ -390,13 +253,11 @@
 {
     struct http_client_conn *conn = g_new0(struct http_client_conn, 1);
     conn->host = g_strdup(address);
-    conn->body_max_bytes = body_max_bytes;
     conn->share = share;
     conn->connected = connected;
     conn->lost = lost;
     conn->ctx = ctx;
-    conn->body = buffer_new(share);
-    http_field_list_init(&conn->fields, share);
+    http_reply_init(&conn->reply, body_max_bytes, share);
     uv_tcp_init(loop, &conn->tcp);
     conn->handle_count = 1;
     uv_tcp_nodelay(&conn->tcp, 1);
@@ -460,14 +321,7 @@
         g_string_free(head, TRUE);
         return conn->response != NULL ? RC_RUNNING : RC_LINK_FAILED;
     }
-    http_parser_init(&conn->parser, HTTP_RESPONSE);
-    conn->parser.data = conn;
-    conn->is_head = is_head;
-    conn->refusal = RC_OK;
-    conn->interim_count = 0;
-    conn->is_complete = false;
-    http_client_reset_response(conn);
-
+    http_reply_start(&conn->reply, is_head);
     struct http_client_write *write = http_client_write_new(conn, head, body);
     if (write == NULL) {
         log_sample("http", "no room for a request address=%s", conn->host);
--- /dev/null
+++ b/common/http_reply.c
@@ -0,0 +1,171 @@
+#include <glib.h>
+
+#include "common/http_reply.h"
+#include "common/rc.h"
+
+/* Statuses of final responses. */
+#define HTTP_REPLY_STATUS_MIN 200
+#define HTTP_REPLY_STATUS_MAX 599
+/* Interim responses before the final one. */
+#define HTTP_REPLY_INTERIM_MAX 32
+
+/* Stops the parser: the response cannot be held. */
+static int
+http_reply_stop(struct http_reply *reply, int rc)
+{
+    reply->refusal = rc;
+    return -1; /* 1 would mean "no body" at the end of a head */
+}
+
+static int
+http_reply_on_body(http_parser *parser, const char *at, size_t length)
+{
+    struct http_reply *reply = parser->data;
+    if (reply->body->bytes + length > reply->body_max_bytes) {
+        return http_reply_stop(reply, RC_REPLY_TOO_LARGE);
+    }
+    return buffer_append(reply->body, at, length) == RC_OK
+               ? 0
+               : http_reply_stop(reply, RC_REPLY_NO_ROOM);
+}
+
+static int
+http_reply_on_header_field(http_parser *parser, const char *at, size_t length)
+{
+    struct http_reply *reply = parser->data;
+    return http_field_list_add_name(&reply->fields, at, length) == RC_OK
+               ? 0
+               : http_reply_stop(reply, RC_REPLY_NO_ROOM);
+}
+
+static int
+http_reply_on_header_value(http_parser *parser, const char *at, size_t length)
+{
+    struct http_reply *reply = parser->data;
+    return http_field_list_add_value(&reply->fields, at, length) == RC_OK
+               ? 0
+               : http_reply_stop(reply, RC_REPLY_NO_ROOM);
+}
+
+/* Whether the response is an interim one, which another one follows. 101 would
+ * end the protocol; no request asks for that. */
+static bool
+http_reply_is_interim(const http_parser *parser)
+{
+    return parser->status_code >= 100 && parser->status_code < 200 &&
+           parser->status_code != 101;
+}
+
+/* Whether a final response may have the status. */
+static bool
+http_reply_is_final(const http_parser *parser)
+{
+    return parser->status_code >= HTTP_REPLY_STATUS_MIN &&
+           parser->status_code <= HTTP_REPLY_STATUS_MAX;
+}
+
+static int
+http_reply_on_headers_complete(http_parser *parser)
+{
+    struct http_reply *reply = parser->data;
+    if (!http_reply_is_interim(parser) && !http_reply_is_final(parser)) {
+        return http_reply_stop(reply, RC_BAD_REPLY);
+    }
+    bool has_no_body = reply->is_head || http_reply_is_interim(parser);
+    bool has_length = !has_no_body && (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length && parser->content_length > reply->body_max_bytes) {
+        return http_reply_stop(reply, RC_REPLY_TOO_LARGE);
+    }
+    return has_no_body ? 1 : 0;
+}
+
+/* Forgets what was read of a response. */
+static void
+http_reply_reset(struct http_reply *reply)
+{
+    buffer_clear(reply->body);
+    http_field_list_reset(&reply->fields);
+}
+
+static int
+http_reply_on_message_complete(http_parser *parser)
+{
+    struct http_reply *reply = parser->data;
+    if (http_reply_is_interim(parser)) {
+        http_reply_reset(reply);
+        reply->interim_count += 1;
+        return reply->interim_count <= HTTP_REPLY_INTERIM_MAX
+                   ? 0
+                   : http_reply_stop(reply, RC_BAD_REPLY);
+    }
+    reply->is_complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings http_reply_settings = {
+    .on_header_field = http_reply_on_header_field,
+    .on_header_value = http_reply_on_header_value,
+    .on_headers_complete = http_reply_on_headers_complete,
+    .on_body = http_reply_on_body,
+    .on_message_complete = http_reply_on_message_complete,
+};
+
+void
+http_reply_init(struct http_reply *reply, size_t body_max_bytes,
+                struct resource_share *share)
+{
+    *reply = (struct http_reply){
+        .body_max_bytes = body_max_bytes,
+        .body = buffer_new(share),
+    };
+    http_field_list_init(&reply->fields, share);
+}
+
+void
+http_reply_clear(struct http_reply *reply)
+{
+    buffer_unref(reply->body);
+    http_field_list_clear(&reply->fields);
+}
+
+void
+http_reply_start(struct http_reply *reply, bool is_head)
+{
+    http_parser_init(&reply->parser, HTTP_RESPONSE);
+    reply->is_head = is_head;
+    reply->refusal = RC_OK;
+    reply->interim_count = 0;
+    reply->is_complete = false;
+    http_reply_reset(reply);
+}
+
+int
+http_reply_parse(struct http_reply *reply, const char *data, size_t bytes,
+                 bool *is_clean)
+{
+    /* The reply may have been moved since it was started. */
+    reply->parser.data = reply;
+    size_t used =
+        http_parser_execute(&reply->parser, &http_reply_settings, data, bytes);
+    if (reply->is_complete) {
+        *is_clean = used == bytes || bytes == 0;
+        return RC_OK;
+    }
+    if (reply->refusal != RC_OK) {
+        return reply->refusal;
+    }
+    return HTTP_PARSER_ERRNO(&reply->parser) == HPE_OK ? RC_AGAIN
+                                                       : RC_BAD_REPLY;
+}
+
+struct http_field *
+http_reply_fields(const struct http_reply *reply)
+{
+    size_t count = http_field_list_count(&reply->fields);
+    struct http_field *fields = g_new0(struct http_field, count);
+    for (size_t i = 0; i < count; i++) {
+        fields[i] = http_field_list_get(&reply->fields, i);
+    }
+    return fields;
+}
