http_reply: no wait for the body of a 204 or 304

What callers saw: a searcher's 304 that names the length of the unchanged body (as HTTP allows) had no end for this process: the request waited for the body until its deadline or until the searcher closed the connection.

Cause: the parser takes a Content-Length as a body also with these statuses.

Change: 204 and 304 have no body. Measured: test_no_body fails without the change.

--- a/common/http_reply.c
+++ b/common/http_reply.c
@@ -6,6 +6,9 @@
 /* Statuses of final responses. */
 #define HTTP_REPLY_STATUS_MIN 200
 #define HTTP_REPLY_STATUS_MAX 599
+/* Statuses without a body, whatever the headers say. */
+#define HTTP_REPLY_NO_CONTENT 204
+#define HTTP_REPLY_NOT_MODIFIED 304
 /* Interim responses before the final one. */
 #define HTTP_REPLY_INTERIM_MAX 32
 
@@ -71,7 +74,9 @@
     if (!http_reply_is_interim(parser) && !http_reply_is_final(parser)) {
         return http_reply_stop(reply, RC_BAD_REPLY);
     }
-    bool has_no_body = reply->is_head || http_reply_is_interim(parser);
+    bool has_no_body = reply->is_head || http_reply_is_interim(parser) ||
+                       parser->status_code == HTTP_REPLY_NO_CONTENT ||
+                       parser->status_code == HTTP_REPLY_NOT_MODIFIED;
     bool has_length = !has_no_body && (parser->flags & F_CONTENTLENGTH) != 0;
     if (has_length && parser->content_length > reply->body_max_bytes) {
         return http_reply_stop(reply, RC_REPLY_TOO_LARGE);
--- a/tests/gateway/test_reset.c
+++ b/tests/gateway/test_reset.c
@@ -197,6 +197,23 @@
     }
 }
 
+/* Guards against a wait for a body that never comes: these statuses have none,
+ * whatever length the backend server names. */
+static void
+test_no_body(void **state)
+{
+    static const char *const statuses[] = {"204", "304"};
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        char *text = g_strdup_printf("HTTP/1.1 %s Status\r\n"
+                                     "Content-Length: 100\r\n\r\n",
+                                     statuses[i]);
+        struct reset_test test = {.text = text, .text_bytes = strlen(text)};
+        run(&test);
+        assert_int_equal(test.rc, RC_OK);
+        g_free(text);
+    }
+}
+
 /* Guards against a backend server that sends interim responses without end. */
 static void
 test_many_interims(void **state)
@@ -348,8 +365,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_closed),  cmocka_unit_test(test_reset),
         cmocka_unit_test(test_interim), cmocka_unit_test(test_many_interims),
-        cmocka_unit_test(test_status),  cmocka_unit_test(test_cut),
-        cmocka_unit_test(test_long),    cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_no_body), cmocka_unit_test(test_status),
+        cmocka_unit_test(test_cut),     cmocka_unit_test(test_long),
+        cmocka_unit_test(test_refused),
     };
     return cmocka_run_group_tests_name("gateway-reset", tests, NULL, NULL);
 }
