member: the table, the hubs and what is derived from them are three files

member.c had 608 lines and three jobs: the table of VMs and their heartbeats, who exchanges heartbeats with whom, and what others derive from the table. Only moved; two functions that the files share are in an internal header.

Measured: all tests pass unchanged.

--- a/gateway/member.c
+++ b/gateway/member.c
@@ -1,10 +1,7 @@
 #include <string.h>
 
 #include "common/log.h"
-#include "gateway/member.h"
-
-/* All VMs that are not strong together get 1/5 of the shared limits. */
-#define MEMBER_WEAK_SHARE_DIVISOR 5
+#include "gateway/member_rank.h"
 
 static void
 member_vm_free(gpointer data)
@@ -107,7 +104,7 @@
     return strcmp(left->name, right->name);
 }
 
-static void
+void
 member_update_ranking(struct members *members)
 {
     if (members->ranked != NULL) {
@@ -286,23 +283,6 @@
     member_set_string(&vm->request_address, request_address);
 }
 
-void
-member_pick_relayed(struct members *members, int64_t now_us, GPtrArray *out)
-{
-    member_update_ranking(members);
-    for (guint i = 0;
-         i < members->strong_count && out->len < MEMBER_RELAYED_MAX; i++) {
-        members->relay_last =
-            (members->relay_last + 1) % members->strong_count;
-        struct member_vm *vm =
-            g_ptr_array_index(members->ranked, members->relay_last);
-        if (vm != members->self && vm->is_ready &&
-            member_is_live(members, vm, now_us)) {
-            g_ptr_array_add(out, vm);
-        }
-    }
-}
-
 int64_t
 member_heartbeat_interval_us(const struct members *members)
 {
@@ -336,8 +316,7 @@
            now_us - vm->last_heartbeat_us < member_dead_timeout_us(members);
 }
 
-/* Whether a VM that was sent heartbeats did not send one in time. */
-static bool
+bool
 member_is_dead(const struct members *members, const struct member_vm *vm,
                int64_t now_us)
 {
@@ -345,264 +324,3 @@
            vm->unanswered_since_us > 0 &&
            now_us - vm->unanswered_since_us >= member_dead_timeout_us(members);
 }
-
-static uint32_t
-member_hub_count(const struct members *members)
-{
-    return CLAMP(members->strong_count, MEMBER_HUBS_MIN, MEMBER_HUBS_MAX);
-}
-
-bool
-member_hubs(struct members *members, int64_t now_us, GPtrArray *out)
-{
-    member_update_ranking(members);
-    uint32_t count = 0;
-    bool is_hub = false;
-    for (guint i = 0;
-         i < members->ranked->len && count < member_hub_count(members); i++) {
-        struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        if (vm == members->self) {
-            is_hub = true;
-            count += 1;
-        }
-        else if (!member_is_dead(members, vm, now_us)) {
-            g_ptr_array_add(out, vm);
-            count += 1;
-        }
-    }
-    return is_hub;
-}
-
-bool
-member_is_follower(struct members *members, int64_t now_us)
-{
-    GPtrArray *hubs = g_ptr_array_new();
-    bool is_hub = member_hubs(members, now_us, hubs);
-    bool is_follower = !is_hub && hubs->len > 0;
-    g_ptr_array_free(hubs, TRUE);
-    return is_follower;
-}
-
-uint32_t
-member_follower_index(struct members *members)
-{
-    member_update_ranking(members);
-    guint index = 0;
-    (void)g_ptr_array_find(members->ranked, members->self, &index);
-    return index - MIN(index, member_hub_count(members));
-}
-
-/* Moves the VMs of this VM's data centre to the front. */
-static void
-member_move_own_dc_first(const struct members *members, GPtrArray *vms)
-{
-    guint front = 0;
-    for (guint i = 0; i < vms->len; i++) {
-        struct member_vm *vm = g_ptr_array_index(vms, i);
-        if (g_strcmp0(vm->dc, members->self->dc) == 0) {
-            vms->pdata[i] = vms->pdata[front];
-            vms->pdata[front] = vm;
-            front += 1;
-        }
-    }
-}
-
-void
-member_heartbeat_targets(struct members *members, int64_t now_us,
-                         GPtrArray *out)
-{
-    members->is_hub = member_hubs(members, now_us, out);
-    if (!members->is_hub) {
-        member_move_own_dc_first(members, out);
-        g_ptr_array_set_size(out,
-                             (gint)MIN(out->len, MEMBER_HEARTBEAT_HUBS_MAX));
-    }
-    /* Probe dead strong VMs, which may have come back. */
-    for (guint i = 0; i < MIN(members->strong_count, MEMBER_HUBS_MAX); i++) {
-        struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        if (vm != members->self && member_is_dead(members, vm, now_us) &&
-            now_us >= vm->next_probe_us) {
-            vm->next_probe_us = now_us + MEMBER_PROBE_INTERVAL_US;
-            g_ptr_array_add(out, vm);
-        }
-    }
-    for (guint i = 0; i < out->len; i++) {
-        struct member_vm *vm = g_ptr_array_index(out, i);
-        if (vm->unanswered_since_us == 0) {
-            vm->unanswered_since_us = now_us;
-        }
-    }
-}
-
-bool
-member_must_reply(struct members *members, const char *name, int64_t now_us)
-{
-    GPtrArray *hubs = g_ptr_array_new();
-    (void)member_hubs(members, now_us, hubs);
-    bool is_target = false;
-    for (guint i = 0; i < hubs->len; i++) {
-        const struct member_vm *vm = g_ptr_array_index(hubs, i);
-        is_target = is_target || strcmp(vm->name, name) == 0;
-    }
-    g_ptr_array_free(hubs, TRUE);
-    return !is_target;
-}
-
-static bool
-member_is_sender(const struct member_vm *vm, int64_t now_us)
-{
-    return vm->is_listed ||
-           (vm->last_heartbeat_us > 0 &&
-            now_us - vm->last_heartbeat_us < MEMBER_FORGET_US);
-}
-
-uint32_t
-member_sender_count(struct members *members, int64_t now_us)
-{
-    member_update_ranking(members);
-    uint32_t strong = 0;
-    uint32_t all = 0;
-    bool is_strong = false;
-    for (guint i = 0; i < members->ranked->len; i++) {
-        const struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        if (vm != members->self && !member_is_sender(vm, now_us)) {
-            continue;
-        }
-        all += 1;
-        strong += i < members->strong_count ? 1 : 0;
-        is_strong =
-            is_strong || (vm == members->self && i < members->strong_count);
-    }
-    if (!members->has_list) {
-        return MAX(all, MEMBER_ASSUMED_COUNT);
-    }
-    if (strong == all) {
-        return all;
-    }
-    return is_strong ? strong + (strong + MEMBER_WEAK_SHARE_DIVISOR - 2) /
-                                    (MEMBER_WEAK_SHARE_DIVISOR - 1)
-                     : (all - strong) * MEMBER_WEAK_SHARE_DIVISOR;
-}
-
-struct share_place
-member_strong_place(struct members *members, int64_t now_us)
-{
-    member_update_ranking(members);
-    struct share_place place = {.index = 0};
-    bool is_found = false;
-    for (guint i = 0; i < members->strong_count; i++) {
-        const struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        bool is_self = vm == members->self;
-        if (!is_self && !member_is_sender(vm, now_us)) {
-            continue;
-        }
-        is_found = is_found || is_self;
-        place.count += 1;
-        place.index += is_found ? 0 : 1;
-    }
-    return is_found ? place : (struct share_place){.index = 0};
-}
-
-const struct member_vm *
-member_find_newer(const struct members *members, enum object_kind kind,
-                  int64_t own, int64_t min_newer_us, int64_t now_us)
-{
-    const struct member_vm *best = NULL;
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, members->vms);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct member_vm *vm = value;
-        if (!member_is_live(members, vm, now_us) || vm->changes[kind] <= own ||
-            vm->newer_since_us[kind] == 0 ||
-            now_us - vm->newer_since_us[kind] < min_newer_us) {
-            continue;
-        }
-        bool is_same_dc = g_strcmp0(vm->dc, members->self->dc) == 0;
-        bool is_best_same_dc =
-            best != NULL && g_strcmp0(best->dc, members->self->dc) == 0;
-        if (best == NULL || is_same_dc > is_best_same_dc ||
-            (is_same_dc == is_best_same_dc &&
-             vm->changes[kind] > best->changes[kind])) {
-            best = vm;
-        }
-    }
-    return best;
-}
-
-int64_t
-member_synced_us(struct members *members, enum object_kind kind, int64_t own)
-{
-    int64_t synced_us = 0;
-    member_update_ranking(members);
-    for (guint i = 0; i < members->ranked->len; i++) {
-        const struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        if (vm == members->self) {
-            break;
-        }
-        if (vm->changes[kind] <= own) {
-            synced_us = MAX(synced_us, vm->synced_us[kind]);
-        }
-    }
-    return synced_us;
-}
-
-static bool
-member_is_usable(const struct members *members, const struct member_vm *vm,
-                 int64_t now_us)
-{
-    if (member_is_live(members, vm, now_us)) {
-        return vm->is_ready;
-    }
-    return vm->relayed_us > 0 &&
-           now_us - vm->relayed_us < MEMBER_RELAYED_EXPIRY_US;
-}
-
-/* Appends those of the first `count` ranked VMs that callers can use. */
-static void
-member_add_addresses(const struct members *members, guint count, bool is_ready,
-                     double random, int64_t now_us, GPtrArray *out)
-{
-    guint first = (guint)(random * count);
-    for (guint i = 0; i < count && out->len < MEMBER_ADDRESSES_MAX; i++) {
-        const struct member_vm *vm =
-            g_ptr_array_index(members->ranked, (first + i) % count);
-        bool is_usable = vm == members->self
-                             ? is_ready
-                             : member_is_usable(members, vm, now_us);
-        if (is_usable) {
-            g_ptr_array_add(out, vm->request_address);
-        }
-    }
-}
-
-void
-member_addresses(struct members *members, bool is_ready, double random,
-                 int64_t now_us, GPtrArray *out)
-{
-    member_update_ranking(members);
-    member_add_addresses(members, members->strong_count, is_ready, random,
-                         now_us, out);
-    if (out->len >= MIN(MEMBER_STRONG_MIN, members->strong_count)) {
-        return;
-    }
-    g_ptr_array_set_size(out, 0);
-    member_add_addresses(members, members->ranked->len, is_ready, random,
-                         now_us, out);
-}
-
-void
-member_usable_vms(struct members *members, bool is_ready, int64_t now_us,
-                  GPtrArray *out)
-{
-    member_update_ranking(members);
-    for (guint i = 0; i < members->ranked->len; i++) {
-        struct member_vm *vm = g_ptr_array_index(members->ranked, i);
-        bool is_usable = vm == members->self
-                             ? is_ready
-                             : member_is_usable(members, vm, now_us);
-        if (is_usable) {
-            g_ptr_array_add(out, vm);
-        }
-    }
-}
