http_server: a configured limit for heads above 80 KiB holds; what a refused request held is given back at once

What callers saw: nothing yet. A configuration may allow heads of more than 64 KiB, which were refused: by a limit of the gateway's own since, and by that of the parser. A refused request kept its path and headers until the client had closed.

Change: up to 512 KiB count, counted in the share; the headers of a reply keep their limit of 80 KiB. The memory of a refused request is returned before its answer is sent.

Measured: server.txt, a scripted run of the server with limits and a share, on loopback: each refusal and its status, room that is given back, waits that end, connections that make room.

--- a/common/http_reply.c
+++ b/common/http_reply.c
@@ -6,6 +6,8 @@
 /* Statuses of final responses. */
 #define HTTP_REPLY_STATUS_MIN 200
 #define HTTP_REPLY_STATUS_MAX 599
+/* Names and values of all headers. */
+#define HTTP_REPLY_HEAD_MAX_BYTES (80 * 1024)
 /* Statuses without a body, whatever the headers say. */
 #define HTTP_REPLY_NO_CONTENT 204
 #define HTTP_REPLY_NOT_MODIFIED 304
@@ -32,22 +34,32 @@
                : http_reply_stop(reply, RC_REPLY_NO_ROOM);
 }
 
+/* Checks the headers after a piece was added with this result. */
+static int
+http_reply_check_head(struct http_reply *reply, int rc)
+{
+    if (rc != RC_OK) {
+        return http_reply_stop(reply, RC_REPLY_NO_ROOM);
+    }
+    return http_field_list_bytes(&reply->fields) <= HTTP_REPLY_HEAD_MAX_BYTES
+               ? 0
+               : http_reply_stop(reply, RC_BAD_REPLY);
+}
+
 static int
 http_reply_on_header_field(http_parser *parser, const char *at, size_t length)
 {
     struct http_reply *reply = parser->data;
-    return http_field_list_add_name(&reply->fields, at, length) == RC_OK
-               ? 0
-               : http_reply_stop(reply, RC_REPLY_NO_ROOM);
+    return http_reply_check_head(
+        reply, http_field_list_add_name(&reply->fields, at, length));
 }
 
 static int
 http_reply_on_header_value(http_parser *parser, const char *at, size_t length)
 {
     struct http_reply *reply = parser->data;
-    return http_field_list_add_value(&reply->fields, at, length) == RC_OK
-               ? 0
-               : http_reply_stop(reply, RC_REPLY_NO_ROOM);
+    return http_reply_check_head(
+        reply, http_field_list_add_value(&reply->fields, at, length));
 }
 
 /* Whether the response is an interim one, which another one follows. 101 would
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -7,6 +7,8 @@
 #include "common/rc.h"
 
 #define HTTP_SERVER_BACKLOG 512
+/* Above any limit that is set for heads. */
+#define HTTP_SERVER_PARSER_HEAD_MAX_BYTES (1024 * 1024)
 /* Defaults of struct http_server_limits. */
 #define HTTP_SERVER_HEAD_MAX_BYTES (64 * 1024)
 #define HTTP_SERVER_IDLE_TIMEOUT_MS (60ULL * 1000)
@@ -219,6 +221,8 @@
     if (net_parse(address, &bind_to) != RC_OK) {
         return RC_INVALID;
     }
+    /* The parser's own limit is one for all parsers of the process. */
+    http_parser_set_max_header_size(HTTP_SERVER_PARSER_HEAD_MAX_BYTES);
     struct http_server *server = g_new0(struct http_server, 1);
     server->handler = handler;
     server->ctx = ctx;
--- a/common/http_server_conn.c
+++ b/common/http_server_conn.c
@@ -177,10 +177,12 @@
 {
     uv_read_stop((uv_stream_t *)&conn->tcp);
     conn->is_last = true;
-    /* The answer needs none of it. */
+    /* The answer needs nothing of the request. */
     buffer_unref(conn->body);
     conn->body = NULL;
     buffer_clear(conn->pending);
+    buffer_clear(conn->target);
+    http_field_list_reset(&conn->fields);
     http_exchange_refuse(conn, rc, now_ms);
 }
 
--- a/gateway/front_io.c
+++ b/gateway/front_io.c
@@ -6,17 +6,20 @@
 
 /* The most that the configuration can allow. */
 #define FRONT_IO_BODY_MAX_BYTES (16ULL * 1024 * 1024)
-#define FRONT_IO_HEAD_MAX_BYTES (64ULL * 1024)
+#define FRONT_IO_HEAD_MAX_BYTES (512ULL * 1024)
+/* Limits that are in force where the configuration sets none. */
+#define FRONT_IO_HEAD_DEFAULT_BYTES (64ULL * 1024)
+#define FRONT_IO_HEAD_TIMEOUT_MS 10000
+#define FRONT_IO_IDLE_TIMEOUT_MS 60000
 /* How often to check whether callers have disconnected, so that their requests
  * are cancelled. */
 #define FRONT_IO_DISCONNECT_CHECK_MS 100
 
-/* In force where the configuration sets none. */
 static const struct http_server_limits front_io_limits = {
-    .head_max_bytes = FRONT_IO_HEAD_MAX_BYTES,
+    .head_max_bytes = FRONT_IO_HEAD_DEFAULT_BYTES,
     .body_max_bytes = FRONT_IO_BODY_MAX_BYTES,
-    .head_timeout_ms = 10000,
-    .idle_timeout_ms = 60000,
+    .head_timeout_ms = FRONT_IO_HEAD_TIMEOUT_MS,
+    .idle_timeout_ms = FRONT_IO_IDLE_TIMEOUT_MS,
 };
 
 struct front_io {
