http_server: requests that others could read differently are refused

What callers saw: nothing yet; found when the parser was compared with the one of h2o. The parser, as Debian builds it, takes spaces in header names, more than one transfer coding, HTTP/0.9 and HTTP/2.0. A header "Content-Length : 5" was passed on as a header of another name, which a searcher may read as a length, and a body with the coding gzip was passed on without that name.

Change: header names are checked, of requests (400) and of replies (bad_reply); a request has at most one Host, only the coding chunked, and is HTTP/1.0 or 1.1.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -78,32 +78,6 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-/* The field with this name, or one without a value. */
-static struct http_field
-http_exchange_field(const struct http_server_conn *conn, const char *name)
-{
-    for (size_t i = 0; i < http_field_list_count(&conn->fields); i++) {
-        struct http_field field = http_field_list_get(&conn->fields, i);
-        if (http_field_is(&field, name)) {
-            return http_field_trim(&field);
-        }
-    }
-    return (struct http_field){.value = NULL};
-}
-
-/* Returns how many fields have the name. */
-static size_t
-http_exchange_field_count(const struct http_server_conn *conn,
-                          const char *name)
-{
-    size_t count = 0;
-    for (size_t i = 0; i < http_field_list_count(&conn->fields); i++) {
-        struct http_field field = http_field_list_get(&conn->fields, i);
-        count += http_field_is(&field, name) ? 1 : 0;
-    }
-    return count;
-}
-
 /* Replaces the target by the text and a NUL. Returns RC_OK or RC_NO_MEMORY. */
 static int
 http_exchange_set_target(struct http_exchange *exchange, const char *text,
@@ -176,7 +150,8 @@
         rc = http_exchange_split_url(exchange);
     }
     if (rc == RC_OK && exchange->host == NULL) {
-        struct http_field host = http_exchange_field(conn, "host");
+        struct http_field host;
+        (void)http_field_list_find(&conn->fields, "host", &host);
         exchange->host = host.value != NULL
                              ? g_strndup(host.value, host.value_bytes)
                              : g_strdup("");
@@ -212,9 +187,6 @@
 int
 http_exchange_start(struct http_server_conn *conn)
 {
-    if (http_exchange_field_count(conn, "host") > 1) {
-        return RC_BAD_REQUEST;
-    }
     struct http_exchange *exchange = g_new0(struct http_exchange, 1);
     exchange->server = conn->server;
     exchange->conn = conn;
@@ -243,7 +215,8 @@
     if (conn == NULL) {
         return NULL;
     }
-    struct http_field field = http_exchange_field(conn, name);
+    struct http_field field;
+    (void)http_field_list_find(&conn->fields, name, &field);
     return field.value != NULL ? g_strndup(field.value, field.value_bytes)
                                : NULL;
 }
--- a/common/http_field.c
+++ b/common/http_field.c
@@ -25,6 +25,19 @@
     return false;
 }
 
+bool
+http_field_is_token(const char *at, size_t bytes)
+{
+    static const char punctuation[] = "!#$%&'*+-.^_`|~";
+    for (size_t i = 0; i < bytes; i++) {
+        if (!g_ascii_isalnum(at[i]) &&
+            (at[i] == '\0' || strchr(punctuation, at[i]) == NULL)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 http_field_is_space(char c)
 {
--- a/common/http_field_list.c
+++ b/common/http_field_list.c
@@ -58,6 +58,9 @@
                          size_t bytes)
 {
     struct http_field_span *last = http_field_list_last(list);
+    if (!http_field_is_token(at, bytes)) {
+        return RC_BAD_FIELD;
+    }
     if (last == NULL || last->has_value) {
         struct http_field_span span = {.name_offset = list->text->bytes};
         if (buffer_append(list->spans, &span, sizeof(span)) != RC_OK) {
@@ -95,3 +98,22 @@
         .value_bytes = span->value_bytes,
     };
 }
+
+size_t
+http_field_list_find(const struct http_field_list *list, const char *name,
+                     struct http_field *out)
+{
+    size_t found = 0;
+    *out = (struct http_field){.value = NULL};
+    for (size_t i = 0; i < http_field_list_count(list); i++) {
+        struct http_field field = http_field_list_get(list, i);
+        if (!http_field_is(&field, name)) {
+            continue;
+        }
+        if (found == 0) {
+            *out = http_field_trim(&field);
+        }
+        found += 1;
+    }
+    return found;
+}
--- a/common/http_reply.c
+++ b/common/http_reply.c
@@ -39,7 +39,8 @@
 http_reply_check_head(struct http_reply *reply, int rc)
 {
     if (rc != RC_OK) {
-        return http_reply_stop(reply, RC_REPLY_NO_ROOM);
+        return http_reply_stop(reply, rc == RC_NO_MEMORY ? RC_REPLY_NO_ROOM
+                                                         : RC_BAD_REPLY);
     }
     return http_field_list_bytes(&reply->fields) <= HTTP_REPLY_HEAD_MAX_BYTES
                ? 0
--- a/common/http_server_conn.c
+++ b/common/http_server_conn.c
@@ -28,6 +28,9 @@
     size_t bytes =
         conn->target->bytes + http_field_list_bytes(&conn->fields) +
         http_field_list_count(&conn->fields) * HTTP_SERVER_FIELD_EXTRA_BYTES;
+    if (rc == RC_BAD_FIELD) {
+        rc = RC_BAD_REQUEST;
+    }
     if (rc == RC_OK && bytes > conn->server->limits.head_max_bytes) {
         rc = RC_HEAD_TOO_LARGE;
     }
@@ -89,23 +92,41 @@
 static void
 http_server_conn_continue(struct http_server_conn *conn)
 {
-    for (size_t i = 0; i < http_field_list_count(&conn->fields); i++) {
-        struct http_field field = http_field_list_get(&conn->fields, i);
-        if (http_field_is(&field, "expect")) {
-            uv_buf_t buf = uv_buf_init((char *)http_server_continue,
-                                       sizeof(http_server_continue) - 1);
-            if (uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1) < 0) {
-                log_sample("http", "cannot send 100 Continue");
-            }
-            return;
-        }
+    struct http_field expect;
+    if (http_field_list_find(&conn->fields, "expect", &expect) == 0) {
+        return;
+    }
+    uv_buf_t buf = uv_buf_init((char *)http_server_continue,
+                               sizeof(http_server_continue) - 1);
+    if (uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1) < 0) {
+        log_sample("http", "cannot send 100 Continue");
     }
 }
 
+/* Whether every recipient reads the request alike: HTTP/1, one host, and no
+ * transfer coding besides chunked. */
+static bool
+http_server_conn_is_plain(const struct http_server_conn *conn)
+{
+    struct http_field host;
+    struct http_field coding;
+    size_t hosts = http_field_list_find(&conn->fields, "host", &host);
+    size_t codings =
+        http_field_list_find(&conn->fields, "transfer-encoding", &coding);
+    bool is_chunked =
+        codings == 1 && coding.value_bytes == strlen("chunked") &&
+        g_ascii_strncasecmp(coding.value, "chunked", coding.value_bytes) == 0;
+    return conn->parser.http_major == 1 && hosts <= 1 &&
+           (codings == 0 || is_chunked);
+}
+
 static int
 http_server_conn_on_head(http_parser *parser)
 {
     struct http_server_conn *conn = parser->data;
+    if (!http_server_conn_is_plain(conn)) {
+        return http_server_conn_stop(conn, RC_BAD_REQUEST);
+    }
     bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     bool is_chunked = (parser->flags & F_CHUNKED) != 0;
     conn->has_head = true;
--- a/include/common/http_field.h
+++ b/include/common/http_field.h
@@ -45,6 +45,10 @@
  */
 bool http_field_is_hop_by_hop(const struct http_field *field);
 
+/* Whether the bytes may be part of a field name. Parsers may accept more, for
+ * example a space before the colon, which others read as another name. */
+bool http_field_is_token(const char *at, size_t bytes);
+
 /* Returns the field without white space around its value. */
 struct http_field http_field_trim(const struct http_field *field);
 
--- a/include/common/http_field_list.h
+++ b/include/common/http_field_list.h
@@ -24,7 +24,8 @@
 
 void http_field_list_clear(struct http_field_list *list);
 
-/* The parser found a piece of a name. Returns RC_OK or RC_NO_MEMORY. */
+/* The parser found a piece of a name. Returns RC_OK, RC_NO_MEMORY, or
+ * RC_BAD_FIELD for bytes that no name may have. */
 int http_field_list_add_name(struct http_field_list *list, const char *at,
                              size_t bytes);
 
@@ -42,4 +43,9 @@
 struct http_field http_field_list_get(const struct http_field_list *list,
                                       size_t index);
 
+/* Finds the first field with this name, without white space around its value.
+ * Returns how many fields have the name; `*out` is empty if there is none. */
+size_t http_field_list_find(const struct http_field_list *list,
+                            const char *name, struct http_field *out);
+
 #endif
