tests: the crowds are scripts with their expected output

Each crowd is a file as for the other scripted tests, in place of a table in C and files of expected output beside it.

--- a/scripts/report.sh
+++ b/scripts/report.sh
@@ -16,7 +16,7 @@
         passed=$((passed + 1))
     elif grep -q "^$name\( \|\$\)" KNOWN-RED.txt 2>/dev/null; then
         echo "known red   ${name##*/}"
-        grep '^[-+][^-+]' "$out.diff" || true
+        grep -E '^[-+][^-+]|: no$' "$out.diff" || true
     else
         echo "FAILED      ${name##*/}"
         cat "$out.diff"
--- a/tests/crowd/client.c
+++ b/tests/crowd/client.c
@@ -14,7 +14,7 @@
 
 struct crowd_group {
     struct crowd *crowd;
-    const struct crowd_clients *clients;
+    struct crowd_clients clients;
     uint32_t done_count;
 };
 
@@ -38,7 +38,7 @@
 client_on_closed(uv_handle_t *handle)
 {
     struct client *client = handle->data;
-    if (client->group->clients->trickles) {
+    if (client->group->clients.trickles) {
         return; /* The timer still refers to it. */
     }
     g_string_free(client->head, TRUE);
@@ -116,7 +116,7 @@
 static void
 client_send(struct client *client)
 {
-    const struct crowd_clients *clients = client->group->clients;
+    const struct crowd_clients *clients = &client->group->clients;
     uv_buf_t bufs[3];
     unsigned count = 0;
     char size_line[32];
@@ -158,11 +158,11 @@
         client_close(client);
         return;
     }
-    if (client->group->clients->reads) {
+    if (client->group->clients.reads) {
         uv_read_start((uv_stream_t *)&client->tcp, client_on_alloc,
                       client_on_read);
     }
-    if (client->group->clients->trickles) {
+    if (client->group->clients.trickles) {
         client_trickle(client);
     }
     else {
@@ -173,13 +173,13 @@
 static void
 client_write_head(struct client *client, uint32_t index)
 {
-    const struct crowd_clients *clients = client->group->clients;
-    client->head = g_string_new(clients->head != NULL ? clients->head : "");
-    if (clients->slashes > 0) {
-        char *path = g_strnfill(clients->slashes, '/');
-        g_string_printf(client->head, "GET %s HTTP/1.1\r\n", path);
-        g_free(path);
-    }
+    const struct crowd_clients *clients = &client->group->clients;
+    char *path = g_strnfill(clients->slashes, '/');
+    client->head = g_string_new(NULL);
+    g_string_printf(client->head, "%s%s HTTP/1.1\r\n%s",
+                    clients->slashes > 0 ? "GET " : clients->request, path,
+                    clients->filler_bytes > 0 ? "X-Filler: " : "");
+    g_free(path);
     g_string_append_printf(client->head,
                            "Host: crowd\r\nX-Request-Id: crowd%u\r\n"
                            "X-Request-Deadline-Ms: 60000\r\n",
@@ -189,8 +189,8 @@
         g_string_append_printf(client->head, "X-Filler: %s\r\n", value);
         g_free(value);
     }
-    if (clients->head_filler_bytes > 0) {
-        client->left_bytes = clients->head_filler_bytes;
+    if (clients->filler_bytes > 0) {
+        client->left_bytes = clients->filler_bytes;
         return;
     }
     client->left_bytes = clients->body_bytes;
@@ -234,12 +234,12 @@
                     ==, 0);
     client->tcp.data = client;
     client->connect.data = client;
-    if (!group->clients->reads) {
+    if (!group->clients.reads) {
         int bytes = CLIENT_RECEIVE_BYTES;
         uv_recv_buffer_size((uv_handle_t *)&client->tcp, &bytes);
     }
     client_connect(group->crowd, &client->tcp, &client->connect,
-                   group->clients->port, client_on_connect);
+                   group->clients.port, client_on_connect);
 }
 
 struct crowd_group *
@@ -249,7 +249,7 @@
     memset(client_piece, 'a', sizeof(client_piece));
     struct crowd_group *group = g_new0(struct crowd_group, 1);
     group->crowd = crowd;
-    group->clients = clients;
+    group->clients = *clients;
     for (uint32_t i = 0; i < clients->count; i++) {
         client_open(group, i);
     }
@@ -259,7 +259,7 @@
 bool
 client_is_done(const struct crowd_group *group)
 {
-    return group->done_count == group->clients->count;
+    return group->done_count == group->clients.count;
 }
 
 struct question {
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -35,53 +35,34 @@
 #define CROWD_SERVER_PORT 23100
 #define CROWD_DEAF_SERVER_PORT 23101
 
-/* What is done to the gateway while the crowd is connected. */
-enum crowd_event {
-    CROWD_NO_EVENT,
-    CROWD_RELOAD,     /* SIGHUP, with the same settings */
-    CROWD_STOP,       /* SIGTERM */
-    CROWD_SLOW_STORE, /* from the start of the crowd the store answers late */
-    CROWD_LONG_STORE, /* the store's answers become long */
-};
-
 /* What a group of clients does, each on a connection of its own. */
 struct crowd_clients {
     uint32_t count;
     uint16_t port;
-    const char *head; /* up to the blank line, which is not part of it */
-    uint32_t slashes; /* in a path that no route has; `head` is not sent */
-    uint64_t head_filler_bytes; /* header lines without end after `head` */
-    uint32_t field_bytes;       /* of one more header */
-    uint64_t announced_bytes;   /* Content-Length; 0: none */
-    uint64_t body_bytes;        /* sent after the head */
+    char *request;         /* method and path */
+    uint64_t filler_bytes; /* header lines without end */
+    uint64_t field_bytes;  /* of one more header */
+    uint64_t slashes;      /* in a path that no route has, without `request` */
+    uint64_t announced_bytes; /* Content-Length; 0: none */
+    uint64_t body_bytes;      /* sent after the head */
+    uint64_t repeats; /* the head is sent this many times more, at once */
     bool is_chunked;
-    bool reads;       /* reads what comes, else nothing */
-    bool trickles;    /* sends the head and the body byte by byte */
-    uint32_t repeats; /* the head is sent this many times more, at once */
+    bool reads;    /* reads what comes, else nothing */
+    bool trickles; /* sends the head byte by byte */
 };
 
-struct crowd_case {
-    const char *name;
-    struct crowd_clients clients[3]; /* until one with a count of 0 */
-    uint32_t memory_mb;
-    uint32_t files;
-    bool asks_large; /* largest legal requests, beside the ordinary one */
-    uint32_t answer_bytes; /* of the backend server, to clients of the crowd */
-    enum crowd_event event;
-};
-
-extern const struct crowd_case crowd_cases[];
-extern const size_t crowd_case_count;
-
 struct crowd_store;
 struct crowd_group;
 
 struct crowd {
     uv_loop_t loop;
-    const struct crowd_case *test;
-    const char *gateway; /* path of the program */
-    const char *folder;  /* for the settings and the log */
-    int slot;            /* third byte of all addresses */
+    uint32_t memory_mb;    /* settings of the gateway */
+    uint32_t files;        /* descriptors, as above */
+    uint32_t answer_bytes; /* of the backend server, to clients of the crowd */
+    GPtrArray *groups;     /* of struct crowd_group */
+    const char *gateway;   /* path of the program */
+    const char *folder;    /* for the settings and the log */
+    int slot;              /* third byte of all addresses */
     struct crowd_store *store;
     uv_process_t process;
     bool is_running;
--- a/tests/crowd/main.c
+++ b/tests/crowd/main.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "crowd.h"
+#include "script.h"
 
 #define CROWD_SAMPLE_MS 10
 #define CROWD_SLEEP_US 500
@@ -97,17 +98,12 @@
     return false;
 }
 
-struct crowd_groups {
-    struct crowd_group *groups[3];
-    size_t count;
-};
-
 static bool
 crowd_have_sent(void *ctx)
 {
-    const struct crowd_groups *groups = ctx;
-    for (size_t i = 0; i < groups->count; i++) {
-        if (!client_is_done(groups->groups[i])) {
+    const struct crowd *crowd = ctx;
+    for (guint i = 0; i < crowd->groups->len; i++) {
+        if (!client_is_done(g_ptr_array_index(crowd->groups, i))) {
             return false;
         }
     }
@@ -122,53 +118,177 @@
 }
 
 static void
-crowd_print(const char *text, bool is_true)
+crowd_print(GString *out, const char *text, bool is_true)
 {
-    g_print("%s: %s\n", text, is_true ? "yes" : "no");
+    g_string_append_printf(out, "%s: %s\n", text, is_true ? "yes" : "no");
 }
 
 static void
-crowd_check(const struct crowd *crowd)
+crowd_check_use(struct crowd *crowd, GString *out)
 {
-    crowd_print("the memory stays within that of the machine",
+    vm_sample(crowd);
+    crowd_print(out, "the memory stays within that of the machine",
                 crowd->memory_peak_kb <=
-                    (uint64_t)crowd->test->memory_mb * CROWD_KB_PER_MB);
-    crowd_print("the open descriptors stay within their limit",
-                crowd->files_peak <= crowd->test->files);
-    g_printerr("%s: memory peak %" G_GUINT64_FORMAT " KiB of %u MiB, "
+                    (uint64_t)crowd->memory_mb * CROWD_KB_PER_MB);
+    crowd_print(out, "the open descriptors stay within their limit",
+                crowd->files_peak <= crowd->files);
+    g_printerr("memory peak %" G_GUINT64_FORMAT " KiB of %u MiB, "
                "descriptors %u of %u\n",
-               crowd->test->name, crowd->memory_peak_kb,
-               crowd->test->memory_mb, crowd->files_peak, crowd->test->files);
+               crowd->memory_peak_kb, crowd->memory_mb, crowd->files_peak,
+               crowd->files);
 }
 
-/* Connects the crowd and lets it send. Clients that are not read wait. */
+/* > vm MEMORY_MB FILES [ANSWER_BYTES]: starts the gateway with these settings,
+ * and a backend server that answers the crowd with so many bytes. */
 static void
-crowd_play(struct crowd *crowd)
+run_vm(void *ctx, int argc, char **argv, GString *out)
 {
-    struct crowd_groups groups = {.count = 0};
-    const struct crowd_clients *clients = crowd->test->clients;
-    for (size_t i = 0; i < G_N_ELEMENTS(groups.groups); i++) {
-        if (clients[i].count > 0) {
-            groups.groups[groups.count++] = client_start(crowd, &clients[i]);
-        }
+    struct crowd *crowd = ctx;
+    static uv_timer_t timer;
+    crowd->memory_mb = (uint32_t)script_number(argc, argv, 1);
+    crowd->files = (uint32_t)script_number(argc, argv, 2);
+    crowd->answer_bytes =
+        argc > 3 ? (uint32_t)script_number(argc, argv, 3) : 0;
+    standin_open(crowd);
+    vm_start(crowd);
+    uv_timer_init(&crowd->loop, &timer);
+    timer.data = crowd;
+    uv_timer_start(&timer, crowd_on_sample, CROWD_SAMPLE_MS, CROWD_SAMPLE_MS);
+    if (!crowd_wait_ready(crowd)) {
+        g_string_append(out, "the gateway did not become ready");
+    }
+}
+
+static uint16_t
+crowd_port(const char *name)
+{
+    static const struct {
+        const char *name;
+        uint16_t port;
+    } ports[] = {
+        {"request", CROWD_REQUEST_PORT},     {"ready", CROWD_READY_PORT},
+        {"directory", CROWD_DIRECTORY_PORT}, {"peers", CROWD_PEER_PORT},
+        {"metrics", CROWD_METRICS_PORT},
+    };
+    size_t i = 0;
+    while (strcmp(ports[i].name, name) != 0) {
+        i += 1;
+    }
+    return ports[i].port;
+}
+
+/* Sets a field of the clients by an option, "NAME" or "NAME=NUMBER". */
+static void
+crowd_set_option(struct crowd_clients *clients, const char *option)
+{
+    const struct {
+        const char *name;
+        uint64_t *number;
+        bool *flag;
+    } options[] = {
+        {"filler=", &clients->filler_bytes, NULL},
+        {"field=", &clients->field_bytes, NULL},
+        {"slashes=", &clients->slashes, NULL},
+        {"announced=", &clients->announced_bytes, NULL},
+        {"body=", &clients->body_bytes, NULL},
+        {"repeats=", &clients->repeats, NULL},
+        {"chunked", NULL, &clients->is_chunked},
+        {"reads", NULL, &clients->reads},
+        {"trickles", NULL, &clients->trickles},
+    };
+    size_t i = 0;
+    while (!g_str_has_prefix(option, options[i].name)) {
+        i += 1;
+        g_assert_cmpint(i, <, G_N_ELEMENTS(options));
+    }
+    if (options[i].number != NULL) {
+        *options[i].number =
+            g_ascii_strtoull(option + strlen(options[i].name), NULL, 10);
+    }
+    else {
+        *options[i].flag = true;
     }
-    bool all_sent = crowd_run(crowd, CROWD_SEND_US, crowd_have_sent, &groups);
-    g_printerr("%s: all clients have sent or were cut off: %s\n",
-               crowd->test->name, all_sent ? "yes" : "no");
+}
+
+/* > clients COUNT PORT "METHOD PATH" OPTION...: connects a group of them. */
+static void
+run_clients(void *ctx, int argc, char **argv, GString *out)
+{
+    struct crowd *crowd = ctx;
+    struct crowd_clients clients = {
+        .count = (uint32_t)script_number(argc, argv, 1),
+        .port = crowd_port(argv[2]),
+        .request = g_strdup(argv[3]),
+    };
+    for (int i = 4; i < argc; i++) {
+        crowd_set_option(&clients, argv[i]);
+    }
+    g_ptr_array_add(crowd->groups, client_start(crowd, &clients));
+}
+
+/* > play: lets the clients send. Those that nobody reads from wait. */
+static void
+run_play(void *ctx, int argc, char **argv, GString *out)
+{
+    struct crowd *crowd = ctx;
+    bool all_sent = crowd_run(crowd, CROWD_SEND_US, crowd_have_sent, crowd);
+    g_printerr("all clients have sent or were cut off: %s\n",
+               all_sent ? "yes" : "no");
     crowd_run(crowd, CROWD_SETTLE_US, crowd_never, NULL);
 }
 
+/* > store slow|long: what the store does from now on. */
 static void
-crowd_check_stop(struct crowd *crowd)
+run_store(void *ctx, int argc, char **argv, GString *out)
 {
+    if (strcmp(argv[1], "slow") == 0) {
+        standin_slow_store(ctx);
+    }
+    else {
+        standin_long_store(ctx);
+    }
+}
+
+/* > reload: SIGHUP, with the same settings */
+static void
+run_reload(void *ctx, int argc, char **argv, GString *out)
+{
+    struct crowd *crowd = ctx;
+    (void)uv_process_kill(&crowd->process, SIGHUP);
+    crowd_run(crowd, CROWD_SETTLE_US, crowd_never, NULL);
+}
+
+/* > stop: SIGTERM */
+static void
+run_stop(void *ctx, int argc, char **argv, GString *out)
+{
+    struct crowd *crowd = ctx;
     (void)uv_process_kill(&crowd->process, SIGTERM);
     crowd_run(crowd, CROWD_SETTLE_US, crowd_never, NULL);
-    crowd_check(crowd);
+    crowd_check_use(crowd, out);
     bool has_ended = crowd_run(crowd, CROWD_STOP_US, crowd_has_ended, crowd);
-    crowd_print("the process ends with status 0",
+    crowd_print(out, "the process ends with status 0",
                 has_ended && crowd->exit_status == 0);
 }
 
+/* > check: what must hold beside the crowd */
+static void
+run_check(void *ctx, int argc, char **argv, GString *out)
+{
+    struct crowd *crowd = ctx;
+    int status = crowd_ask(crowd, CROWD_REQUEST_PORT, crowd_ordinary_request);
+    int directory =
+        crowd_ask(crowd, CROWD_DIRECTORY_PORT, crowd_directory_request);
+    int ready = crowd_ask(crowd, CROWD_READY_PORT, crowd_ready_request);
+    g_printerr("status of the ordinary request %d, directory %d, ready %d\n",
+               status, directory, ready);
+    crowd_print(out, "the process lives", crowd->is_running);
+    crowd_check_use(crowd, out);
+    crowd_print(out, "an ordinary request is answered", status == 200);
+    crowd_print(out, "the directory answers", directory == 200);
+    crowd_print(out, "the process is ready", ready == 200);
+}
+
 /* Sends a request with a head and a body of the largest legal size; returns
  * the status. The answer is long if the id begins with "crowd". */
 static int
@@ -187,111 +307,42 @@
     return status; /* The connection may still write `request`. */
 }
 
+/* > large: the largest legal requests */
 static void
-crowd_check_large(struct crowd *crowd)
+run_large(void *ctx, int argc, char **argv, GString *out)
 {
-    crowd_print("a request of the largest size is answered",
+    struct crowd *crowd = ctx;
+    crowd_print(out, "a request of the largest size is answered",
                 crowd_ask_large(crowd, "single", "crowd-large") == 200);
-    crowd_print("a request of the largest size to all shards is answered",
+    crowd_print(out, "a request of the largest size to all shards is answered",
                 crowd_ask_large(crowd, "gather", "large") == 200);
 }
 
-static void
-crowd_check_service(struct crowd *crowd)
-{
-    if (crowd->test->event == CROWD_RELOAD) {
-        (void)uv_process_kill(&crowd->process, SIGHUP);
-        crowd_run(crowd, CROWD_SETTLE_US, crowd_never, NULL);
-    }
-    int status = crowd_ask(crowd, CROWD_REQUEST_PORT, crowd_ordinary_request);
-    int directory =
-        crowd_ask(crowd, CROWD_DIRECTORY_PORT, crowd_directory_request);
-    int ready = crowd_ask(crowd, CROWD_READY_PORT, crowd_ready_request);
-    g_printerr("%s: status of the ordinary request %d, directory %d, "
-               "ready %d\n",
-               crowd->test->name, status, directory, ready);
-    vm_sample(crowd);
-    crowd_print("the process lives", crowd->is_running);
-    crowd_check(crowd);
-    crowd_print("an ordinary request is answered", status == 200);
-    crowd_print("the directory answers", directory == 200);
-    crowd_print("the process is ready", ready == 200);
-    if (crowd->test->asks_large) {
-        crowd_check_large(crowd);
-    }
-    (void)uv_process_kill(&crowd->process, SIGKILL);
-    crowd_run(crowd, CROWD_STOP_US, crowd_has_ended, crowd);
-}
-
-static int
-crowd_run_case(struct crowd *crowd)
-{
-    uv_timer_t timer;
-    uv_loop_init(&crowd->loop);
-    standin_open(crowd);
-    vm_start(crowd);
-    uv_timer_init(&crowd->loop, &timer);
-    timer.data = crowd;
-    uv_timer_start(&timer, crowd_on_sample, CROWD_SAMPLE_MS, CROWD_SAMPLE_MS);
-    if (!crowd_wait_ready(crowd)) {
-        g_printerr("the gateway did not become ready\n");
-        (void)uv_process_kill(&crowd->process, SIGKILL);
-        return 1;
-    }
-    if (crowd->test->event == CROWD_SLOW_STORE) {
-        standin_slow_store(crowd);
-    }
-    if (crowd->test->event == CROWD_LONG_STORE) {
-        standin_long_store(crowd);
-    }
-    crowd_play(crowd);
-    if (crowd->test->event == CROWD_STOP) {
-        crowd_check_stop(crowd);
-    }
-    else {
-        crowd_check_service(crowd);
-    }
-    return 0;
-}
-
-static const struct crowd_case *
-crowd_find(const char *name)
-{
-    for (size_t i = 0; i < crowd_case_count; i++) {
-        if (strcmp(crowd_cases[i].name, name) == 0) {
-            return &crowd_cases[i];
-        }
-    }
-    return NULL;
-}
-
-static int
-crowd_list(void)
-{
-    for (size_t i = 0; i < crowd_case_count; i++) {
-        g_print("%s\n", crowd_cases[i].name);
-    }
-    return 0;
-}
+static const struct script_command commands[] = {
+    {"vm", run_vm},       {"clients", run_clients}, {"play", run_play},
+    {"store", run_store}, {"reload", run_reload},   {"stop", run_stop},
+    {"check", run_check}, {"large", run_large},
+};
 
 int
 main(int argc, char **argv)
 {
-    if (argc == 2 && strcmp(argv[1], "--list") == 0) {
-        return crowd_list();
-    }
-    const struct crowd_case *test = argc == 5 ? crowd_find(argv[4]) : NULL;
-    if (test == NULL) {
-        g_printerr("usage: crowd GATEWAY FOLDER SLOT CASE\n"
-                   "       crowd --list\n");
+    if (argc != 5) {
+        g_printerr("usage: crowd GATEWAY FOLDER SLOT SCRIPT\n");
         return 2;
     }
     (void)signal(SIGPIPE, SIG_IGN);
     (void)log_open("crowd", "crowd", "error");
     static struct crowd crowd;
+    uv_loop_init(&crowd.loop);
     crowd.gateway = argv[1];
     crowd.folder = argv[2];
     crowd.slot = atoi(argv[3]);
-    crowd.test = test;
-    return crowd_run_case(&crowd);
+    crowd.groups = g_ptr_array_new();
+    int failed = script_run(argv[4], commands, G_N_ELEMENTS(commands), &crowd);
+    if (crowd.is_running) {
+        (void)uv_process_kill(&crowd.process, SIGKILL);
+        crowd_run(&crowd, CROWD_STOP_US, crowd_has_ended, &crowd);
+    }
+    return failed == 0 ? 0 : 1;
 }
--- a/tests/crowd/standin.c
+++ b/tests/crowd/standin.c
@@ -238,7 +238,7 @@
     const struct crowd_store *store = ctx;
     char *id = http_server_header(http, "x-request-id");
     bool is_crowd = id != NULL && g_str_has_prefix(id, "crowd");
-    uint32_t answer_bytes = store->crowd->test->answer_bytes;
+    uint32_t answer_bytes = store->crowd->answer_bytes;
     struct http_field fields[] = {
         http_field_of("x-request-id", id != NULL ? id : ""),
         http_field_of("x-response-stamp", "stamp"),
@@ -288,7 +288,7 @@
     struct crowd_store *store = g_new0(struct crowd_store, 1);
     store->crowd = crowd;
     crowd->store = store;
-    store->answer = g_strnfill(crowd->test->answer_bytes, 'a');
+    store->answer = g_strnfill(crowd->answer_bytes, 'a');
     crowd_address(crowd, CROWD_STANDIN_HOST, CROWD_STORE_PORT, address);
     g_assert_cmpint(http_server_open(&crowd->loop, address,
                                      STANDIN_BODY_MAX_BYTES, standin_on_store,
--- a/tests/crowd/vm.c
+++ b/tests/crowd/vm.c
@@ -25,8 +25,8 @@
         "[warmup]\novershoot_ratio = 1.5\nslack = 5\n"
         "[config]\napply_ms = 3000\n[drain]\nms = 3000\n"
         "[directory]\nttl_max_s = 5\n",
-        ip, crowd->test->files, crowd->test->memory_mb, ip, CROWD_REQUEST_PORT,
-        ip, CROWD_READY_PORT, ip, CROWD_DIRECTORY_PORT, CROWD_PEER_PORT,
+        ip, crowd->files, crowd->memory_mb, ip, CROWD_REQUEST_PORT, ip,
+        CROWD_READY_PORT, ip, CROWD_DIRECTORY_PORT, CROWD_PEER_PORT,
         CROWD_METRICS_PORT, store);
     char *path = g_strdup_printf("%s/vm0.ini", crowd->folder);
     g_assert_true(g_file_set_contents(path, text, -1, NULL));
