part: no room in this VM is no fault of a backend server

What callers saw: nothing yet; found when the diff was read. A request that found no room to be sent closed its link, opened a new one, failed again and counted as a failure of the backend server, which others then avoided.

Change: no_memory from a send keeps the link for others, ends the part at once as not run, and blames nobody, as a reply without room does.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -325,7 +325,7 @@
     struct http_client_write *write = http_client_write_new(conn, head, body);
     if (write == NULL) {
         log_sample("http", "no room for a request address=%s", conn->host);
-        return RC_LINK_FAILED;
+        return RC_NO_MEMORY;
     }
     uv_buf_t bufs[2] = {uv_buf_init(head->str, (unsigned)head->len)};
     unsigned count = 1;
--- a/gateway/part.c
+++ b/gateway/part.c
@@ -212,6 +212,18 @@
     return attempt;
 }
 
+/* This VM has no room to send the request: the link stays for others. */
+static void
+part_on_no_room(struct attempt *attempt, int64_t now_us)
+{
+    struct backend_link *link = attempt->link;
+    int64_t keepalive_us = link->expires_us > now_us
+                               ? link->expires_us - now_us
+                               : BACKEND_IDLE_MAX_US;
+    backend_release_link(link, keepalive_us, now_us);
+    part_on_failure(attempt, RC_NO_MEMORY, now_us);
+}
+
 void
 part_start_attempt(struct part *part, struct backend *backend, int64_t now_us)
 {
@@ -223,7 +235,12 @@
         .started_us = now_us,
     };
     attempt->link = part_idle_link(part, backend, now_us);
-    if (attempt->link != NULL && part_send(attempt, now_us) != RC_OK) {
+    int rc = attempt->link != NULL ? part_send(attempt, now_us) : RC_OK;
+    if (rc == RC_NO_MEMORY) {
+        part_on_no_room(attempt, now_us);
+        return;
+    }
+    if (rc != RC_OK) {
         part_drop_link(attempt);
     }
     if (attempt->link == NULL) {
@@ -347,7 +364,11 @@
         part_on_failure(attempt, rc, now_us);
         return;
     }
-    if (part_send(attempt, now_us) != RC_OK) {
+    rc = part_send(attempt, now_us);
+    if (rc == RC_NO_MEMORY) {
+        part_on_no_room(attempt, now_us);
+    }
+    else if (rc != RC_OK) {
         part_drop_link(attempt);
         part_on_failure(attempt, RC_LINK_FAILED, now_us);
     }
@@ -374,6 +395,13 @@
     return true;
 }
 
+/* Whether the attempt failed for want of room in this VM. */
+static bool
+part_lacks_room(int rc)
+{
+    return rc == RC_NO_MEMORY || rc == RC_REPLY_NO_ROOM;
+}
+
 void
 part_on_failure(struct attempt *attempt, int rc, int64_t now_us)
 {
@@ -389,14 +417,14 @@
         backend_on_wrong_id(attempt->backend, now_us);
     }
     else if (rc != RC_BACKOFF && rc != RC_TOO_LATE && rc != RC_STOPPING &&
-             rc != RC_REPLY_NO_ROOM) {
+             !part_lacks_room(rc)) {
         backend_on_failure(attempt->backend, now_us);
     }
     if (part->state != PART_OPEN || part_is_in_flight(part)) {
         return;
     }
-    /* The same answer of another backend server would find no room either. */
-    if (rc != RC_REPLY_NO_ROOM && part_may_retry(part, attempt)) {
+    /* With another backend server there would be no room either. */
+    if (!part_lacks_room(rc) && part_may_retry(part, attempt)) {
         counter_add(gateway->counters, "gateway_retries", rc_name(rc));
         log_step("request",
                  "sending retry id=%s service=%s backend=%s rc=%s "
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -83,7 +83,8 @@
  * As http_client_request() with the bytes of a whole request: `head`, whose
  * ownership passes to the callee, also on an error, and `body`, which is not
  * copied and may be NULL. `is_head` marks a HEAD request: its response has no
- * body. Without room in the share it fails with RC_LINK_FAILED.
+ * body. Without room in the share it fails with RC_NO_MEMORY, and
+ * the connection stays usable.
  */
 int http_client_send(struct http_client_conn *conn, GString *head,
                      struct buffer *body, bool is_head,
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -113,8 +113,8 @@
 
 struct gateway_callbacks {
     struct backend_callbacks link;
-    /* Sends the attempt's request on its link. Returns RC_OK or
-     * RC_LINK_FAILED. */
+    /* Sends the attempt's request on its link. Returns RC_OK, RC_LINK_FAILED,
+     * or RC_NO_MEMORY if this VM has no room for it; the link stays usable. */
     int (*send)(struct backend_link *link, const struct attempt_send *send,
                 void *ctx);
     /* Returns a random number from 0 to 1. */
--- a/tests/gateway/test_core.c
+++ b/tests/gateway/test_core.c
@@ -33,6 +33,7 @@
     double random;
     GString *out;
     struct gateway_config *draft;
+    bool has_no_room; /* for requests to backend servers */
 };
 
 static const char *
@@ -75,6 +76,9 @@
           void *ctx)
 {
     struct core_test *test = ctx;
+    if (test->has_no_room) {
+        return RC_NO_MEMORY;
+    }
     test->send_count += 1;
     g_string_append_printf(test->out, "send %s on %s to %s left=%" PRId64 "\n",
                            send->request->id, link_name(test, link),
@@ -279,6 +283,14 @@
     test->gateway.backends.link_max = (uint32_t)script_number(argc, argv, 1);
 }
 
+/* > no-room 0|1: whether requests find no room to be sent. */
+static void
+run_no_room(void *ctx, int argc, char **argv, GString *out)
+{
+    struct core_test *test = ctx;
+    test->has_no_room = script_number(argc, argv, 1) != 0;
+}
+
 /* > request-max MAX: limits the requests in progress. */
 static void
 run_request_max(void *ctx, int argc, char **argv, GString *out)
@@ -679,6 +691,7 @@
     {"state-counts", run_state_counts},
     {"link-max", run_link_max},
     {"request-max", run_request_max},
+    {"no-room", run_no_room},
     {"limits", run_limits},
     {"avoid", run_avoid},
 };
