--- a/gateway/app.c
+++ b/gateway/app.c
@@ -52,6 +52,13 @@
                            &app->allot.shares[ALLOT_BACKENDS]);
 }
 
+void
+app_on_refused(int rc, void *ctx)
+{
+    struct app *app = ctx;
+    counter_add(app->counters, "gateway_refused", rc_name(rc));
+}
+
 bool
 app_is_ready(const struct app *app)
 {
--- a/gateway/front_io.c
+++ b/gateway/front_io.c
@@ -29,13 +29,6 @@
     struct http_server *metrics;
 };
 
-static void
-front_io_on_refused(int rc, void *ctx)
-{
-    struct app *app = ctx;
-    counter_add(app->counters, "gateway_refused", rc_name(rc));
-}
-
 /* As http_server_open(), with a share of the process's account. */
 static int
 front_io_open_one(struct app *app, const char *address, size_t body_max_bytes,
@@ -46,7 +39,7 @@
                               app, out);
     if (rc == RC_OK) {
         app_account_server(app, *out, share);
-        http_server_set_refused_cb(*out, front_io_on_refused);
+        http_server_set_refused_cb(*out, app_on_refused);
     }
     return rc;
 }
--- a/gateway/peer_io.c
+++ b/gateway/peer_io.c
@@ -269,6 +269,7 @@
                               peer_io_on_state_request, app, &peers->server);
     if (rc == RC_OK) {
         app_account_server(app, peers->server, ALLOT_PEERS);
+        http_server_set_refused_cb(peers->server, app_on_refused);
     }
     return rc;
 }
--- a/include/gateway/app.h
+++ b/include/gateway/app.h
@@ -97,6 +97,9 @@
 void app_account_server(struct app *app, struct http_server *server,
                         enum allot_share share);
 
+/* Counts a request that a server refused; `ctx` is the struct app. */
+void app_on_refused(int rc, void *ctx);
+
 /* A random number from 0 to below 1; `ctx` is the struct app. */
 double app_random(void *ctx);
 
