http_server: names and comments that stopped a reader of the diff

Renamed: what is closed to get memory back, a connection that is rejected, a wait that times out, a request that is unambiguous, and the silent backend server of the crowd tests. The present time is an argument down to the write. No change of behaviour; all tests pass.

--- a/common/http_exchange.c
+++ b/common/http_exchange.c
@@ -1,5 +1,4 @@
 #include <errno.h>
-#include <inttypes.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -318,7 +317,7 @@
 static void
 http_exchange_send(struct http_server_conn *conn, int status,
                    const struct http_field *fields, size_t field_count,
-                   struct buffer *body)
+                   struct buffer *body, uint64_t now_ms)
 {
     bool has_body = conn->parser.method != HTTP_HEAD &&
                     status != HTTP_STATUS_NO_CONTENT &&
@@ -337,7 +336,7 @@
         buffer_unref(body);
         body = NULL;
     }
-    http_server_conn_write(conn, head, body, uv_now(conn->tcp.loop));
+    http_server_conn_write(conn, head, body, now_ms);
 }
 
 /* Ends the exchange and returns its connection, or NULL if that is gone. */
@@ -364,8 +363,8 @@
     if (conn != NULL) {
         exchange->conn = NULL;
         conn->exchange = NULL;
-        http_exchange_send(conn, status, fields, field_count,
-                           buffer_ref(body));
+        http_exchange_send(conn, status, fields, field_count, buffer_ref(body),
+                           uv_now(conn->tcp.loop));
     }
     (void)http_exchange_end(exchange);
 }
@@ -423,5 +422,5 @@
         http_server_conn_close(conn);
         return;
     }
-    http_exchange_send(conn, status, fields, field_count, body);
+    http_exchange_send(conn, status, fields, field_count, body, now_ms);
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -64,8 +64,8 @@
 
 /* Whether to close the connection because memory is short. */
 static bool
-http_server_is_in_the_way(const struct http_server *server,
-                          const struct http_server_conn *conn, uint64_t now_ms)
+http_server_must_reclaim(const struct http_server *server,
+                         const struct http_server_conn *conn, uint64_t now_ms)
 {
     bool is_reading_answer = conn->wait.kind == HTTP_WAIT_READER;
     bool is_tight =
@@ -98,8 +98,8 @@
         next = item->next;
         http_server_conn_measure(conn, now_ms);
         if (http_wait_is_over(&conn->wait, &limits, now_ms) ||
-            http_server_is_in_the_way(server, conn, now_ms)) {
-            http_server_conn_give_up(conn, now_ms);
+            http_server_must_reclaim(server, conn, now_ms)) {
+            http_server_conn_time_out(conn, now_ms);
         }
     }
     if (g_queue_is_empty(&server->connections)) {
@@ -152,7 +152,7 @@
 /* Closes a connection that has no room. It must be accepted first, or it would
  * stay in the queue of the listener. */
 static void
-http_server_turn_away(uv_stream_t *listener)
+http_server_reject(uv_stream_t *listener)
 {
     uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
     uv_tcp_init(listener->loop, tcp);
@@ -200,7 +200,7 @@
         http_server_accept(server, now_ms);
     }
     else {
-        http_server_turn_away(listener);
+        http_server_reject(listener);
     }
 }
 
--- a/common/http_server_conn.c
+++ b/common/http_server_conn.c
@@ -106,7 +106,7 @@
 /* Whether every recipient reads the request alike: HTTP/1, one host, and no
  * transfer coding besides chunked. */
 static bool
-http_server_conn_is_plain(const struct http_server_conn *conn)
+http_server_conn_is_unambiguous(const struct http_server_conn *conn)
 {
     struct http_field host;
     struct http_field coding;
@@ -124,7 +124,7 @@
 http_server_conn_on_head(http_parser *parser)
 {
     struct http_server_conn *conn = parser->data;
-    if (!http_server_conn_is_plain(conn)) {
+    if (!http_server_conn_is_unambiguous(conn)) {
         return http_server_conn_stop(conn, RC_BAD_REQUEST);
     }
     bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
@@ -444,7 +444,7 @@
 }
 
 void
-http_server_conn_give_up(struct http_server_conn *conn, uint64_t now_ms)
+http_server_conn_time_out(struct http_server_conn *conn, uint64_t now_ms)
 {
     bool is_reading =
         conn->wait.kind == HTTP_WAIT_HEAD || conn->wait.kind == HTTP_WAIT_BODY;
--- a/gateway/allot.c
+++ b/gateway/allot.c
@@ -7,8 +7,8 @@
 #define ALLOT_OWN_FILES_MAX 200
 #define ALLOT_OWN_FILES_DIVISOR 4
 /* Share of the memory for peers. The rest holds the program, the
- * configuration, the tables of backend servers and VMs, and the requests in
- * progress. */
+ * configuration, the tables of backend servers and VMs, and lists while they
+ * are decoded. */
 #define ALLOT_PEERS_PERMILLE 750
 /* Share of that memory for connections with their small buffers. */
 #define ALLOT_CONNECTIONS_PERMILLE 400
@@ -18,8 +18,10 @@
 /* Connections to the store: one for each kind of objects, for the registration
  * and for the roster; to other VMs: one for each kind of objects. */
 #define ALLOT_STORE_CONNECTIONS_MIN 10
+/* Any other share needs a second connection to take the place of a stalled
+ * one.
+ */
 #define ALLOT_CONNECTIONS_MIN 2
-
 /* Part of the callers' connections on which no request may be in progress, so
  * that a caller can connect and learn that there is no room. */
 #define ALLOT_SPARE_DIVISOR 4
--- a/include/common/http_server_conn.h
+++ b/include/common/http_server_conn.h
@@ -70,7 +70,7 @@
 
 /* Ends a wait for the client: answers a request that was read in part with
  * 408, else closes. */
-void http_server_conn_give_up(struct http_server_conn *conn, uint64_t now_ms);
+void http_server_conn_time_out(struct http_server_conn *conn, uint64_t now_ms);
 
 /* Notes what the client has read since the last call. */
 void http_server_conn_measure(struct http_server_conn *conn, uint64_t now_ms);
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -33,7 +33,7 @@
 #define CROWD_METRICS_PORT 23404
 #define CROWD_STORE_PORT 23000
 #define CROWD_SERVER_PORT 23100
-#define CROWD_DEAF_SERVER_PORT 23101
+#define CROWD_SILENT_SERVER_PORT 23101
 
 /* What a group of clients does, each on a connection of its own. */
 struct crowd_clients {
--- a/tests/crowd/standin.c
+++ b/tests/crowd/standin.c
@@ -20,7 +20,7 @@
     struct crowd *crowd;
     struct http_server *server;
     struct http_server *backend;
-    uv_tcp_t deaf;
+    uv_tcp_t silent;
     bool is_slow;
     bool is_long;
     char *answer; /* to clients of the crowd */
@@ -78,13 +78,13 @@
         "\"warmup_s\":0,\"warmup_per_s\":0}";
     GString *out = g_string_new("{\"version\":7,\"routes\":[");
     char *shards = standin_services("shard", CROWD_SHARDS, "\"NAME\"");
-    char *deaf = standin_services("deaf", CROWD_SHARDS, "\"NAME\"");
+    char *silent = standin_services("silent", CROWD_SHARDS, "\"NAME\"");
     char *gather = g_strdup_printf(
         "\"gather\":[%s],\"top_k\":10,\"min_coverage\":0.5", shards);
     char *unread = g_strdup_printf(
-        "\"gather\":[%s],\"top_k\":10,\"min_coverage\":0.5", deaf);
+        "\"gather\":[%s],\"top_k\":10,\"min_coverage\":0.5", silent);
     char *shard_list = standin_services("shard", CROWD_SHARDS, service);
-    char *deaf_list = standin_services("deaf", CROWD_SHARDS, service);
+    char *silent_list = standin_services("silent", CROWD_SHARDS, service);
     char *single_list = standin_services("single", 1, service);
     standin_append_route(out, "single", "\"service\":\"single0\"");
     g_string_append_c(out, ',');
@@ -96,13 +96,13 @@
         "],\"services\":[%s,%s,%s],\"limits\":{\"max_header_bytes\":16384,"
         "\"max_body_bytes\":%d,\"header_timeout_ms\":3000,"
         "\"idle_timeout_ms\":15000}}",
-        single_list, shard_list, deaf_list, CROWD_BODY_MAX_BYTES);
+        single_list, shard_list, silent_list, CROWD_BODY_MAX_BYTES);
     g_free(shards);
-    g_free(deaf);
+    g_free(silent);
     g_free(gather);
     g_free(unread);
     g_free(shard_list);
-    g_free(deaf_list);
+    g_free(silent_list);
     g_free(single_list);
     char *spec = g_string_free(out, FALSE);
     char *item = standin_item("main", spec);
@@ -144,8 +144,8 @@
         standin_append_servers(crowd, items, "single", 1, CROWD_SERVER_PORT);
         standin_append_servers(crowd, items, "shard", CROWD_SHARDS,
                                CROWD_SERVER_PORT);
-        standin_append_servers(crowd, items, "deaf", CROWD_SHARDS,
-                               CROWD_DEAF_SERVER_PORT);
+        standin_append_servers(crowd, items, "silent", CROWD_SHARDS,
+                               CROWD_SILENT_SERVER_PORT);
     }
     char *body = g_strdup_printf(
         "{\"items\":[%s],\"has_more\":false,\"current_rev\":2}", items->str);
@@ -256,7 +256,7 @@
 
 /* Accepts the connection and reads nothing from it. */
 static void
-standin_on_deaf(uv_stream_t *listener, int status)
+standin_on_silent(uv_stream_t *listener, int status)
 {
     uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
     uv_tcp_init(listener->loop, tcp);
@@ -264,21 +264,21 @@
 }
 
 static void
-standin_open_deaf(struct crowd *crowd)
+standin_open_silent(struct crowd *crowd)
 {
     char text[CROWD_ADDRESS_BYTES];
     struct sockaddr_in address;
-    uv_tcp_t *deaf = &crowd->store->deaf;
+    uv_tcp_t *silent = &crowd->store->silent;
     int bytes = 4096;
-    crowd_address(crowd, CROWD_STANDIN_HOST, CROWD_DEAF_SERVER_PORT, text);
+    crowd_address(crowd, CROWD_STANDIN_HOST, CROWD_SILENT_SERVER_PORT, text);
     g_assert_cmpint(net_parse(text, &address), ==, 0);
-    uv_tcp_init_ex(&crowd->loop, deaf, AF_INET);
-    uv_recv_buffer_size((uv_handle_t *)deaf, &bytes);
-    g_assert_cmpint(uv_tcp_bind(deaf, (const struct sockaddr *)&address, 0),
+    uv_tcp_init_ex(&crowd->loop, silent, AF_INET);
+    uv_recv_buffer_size((uv_handle_t *)silent, &bytes);
+    g_assert_cmpint(uv_tcp_bind(silent, (const struct sockaddr *)&address, 0),
                     ==, 0);
     g_assert_cmpint(
-        uv_listen((uv_stream_t *)deaf, STANDIN_BACKLOG, standin_on_deaf), ==,
-        0);
+        uv_listen((uv_stream_t *)silent, STANDIN_BACKLOG, standin_on_silent),
+        ==, 0);
 }
 
 void
@@ -299,7 +299,7 @@
         http_server_open(&crowd->loop, address, STANDIN_BODY_MAX_BYTES,
                          standin_on_backend, store, &store->backend),
         ==, 0);
-    standin_open_deaf(crowd);
+    standin_open_silent(crowd);
 }
 
 void
