tests: two runs of the server test on one machine do not meet

At that moment another run of the tests, in this tree, had started it too, and both use one fixed port. Two runs of the old test started together repeat it: one passes, the other fails at the same line with io. Now each process listens on a loopback address of its own, and three pairs of runs passed. The checks are the same.

--- a/tests/common/test_server.c
+++ b/tests/common/test_server.c
@@ -19,7 +19,8 @@
 /* What clients get from an HTTP server that has limits and a share, on a
  * loopback address. */
 
-#define SERVER_ADDRESS "127.0.0.1:20984"
+#define SERVER_PORT 20984
+#define SERVER_ADDRESS_BYTES 32
 #define SERVER_CLIENTS 10
 /* The loop runs until nothing has happened for this many turns. */
 #define SERVER_TURNS 100
@@ -29,6 +30,7 @@
 
 struct server_test {
     uv_loop_t loop;
+    char address[SERVER_ADDRESS_BYTES];
     struct http_server *server;
     struct resource_share share;
     int clients[SERVER_CLIENTS];  /* by number, 0: not connected */
@@ -103,7 +105,7 @@
         turn(test);
     }
     *client = socket(AF_INET, SOCK_STREAM, 0);
-    assert_int_equal(net_parse(SERVER_ADDRESS, &address), RC_OK);
+    assert_int_equal(net_parse(test->address, &address), RC_OK);
     assert_int_equal(
         connect(*client, (struct sockaddr *)&address, sizeof(address)), 0);
     turn(test);
@@ -214,7 +216,11 @@
 {
     static struct server_test test;
     uv_loop_init(&test.loop);
-    assert_int_equal(http_server_open(&test.loop, SERVER_ADDRESS, 1000,
+    /* Each process has an address of its own, so that two runs on one machine
+     * do not meet. */
+    g_snprintf(test.address, sizeof(test.address), "127.%d.%d.1:%d",
+               1 + (getpid() >> 8) % 200, getpid() & 255, SERVER_PORT);
+    assert_int_equal(http_server_open(&test.loop, test.address, 1000,
                                       on_request, &test, &test.server),
                      RC_OK);
     http_server_set_shares(test.server, &test.share, NULL);
