--- a/include/gateway/allot.h
+++ b/include/gateway/allot.h
@@ -16,10 +16,10 @@
                       * are copied */
     ALLOT_BACKENDS,  /* links to backend servers, requests on the way to them,
                       * and answers until the caller has read them */
-    ALLOT_DIRECTORY, /* listeners for address lists, */
-    ALLOT_READY,     /* readiness checks, */
-    ALLOT_METRICS,   /* metrics */
-    ALLOT_PEERS,     /* and the other VMs */
+    ALLOT_DIRECTORY, /* listener for address lists */
+    ALLOT_READY,     /* listener for readiness checks */
+    ALLOT_METRICS,   /* listener for metrics */
+    ALLOT_PEERS,     /* listener for other VMs */
     ALLOT_STORE,     /* connections to the store and to other VMs */
     ALLOT_ORDERS,    /* ids and outcomes of orders, no connections */
     ALLOT_SHARE_COUNT,
--- a/include/gateway/member.h
+++ b/include/gateway/member.h
@@ -52,7 +52,8 @@
 
 #define MEMBER_AGE_NONE INT64_MAX
 
-/* Others are ignored. Names come in datagrams, whose sender is not known. */
+/* Most VMs that are known at a time; further names are ignored. Names come in
+ * datagrams, whose sender is not known. */
 #define MEMBER_VMS_MAX 8192
 
 /* A VM that is not a hub sends heartbeats to this many hubs, those of its data
